--- /dev/null
+++ b/src/main/java/ottergauge/cli/SimHostCommand.java
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.cli;
+
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import ottergauge.simhost.SimHost;
+import ottergauge.simhost.WireException;
+import picocli.CommandLine.Command;
+
+/** Hosts decision modules on the simulator's wire: batches on standard input, replies on standard output. */
+@Command(name = "simhost", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+    description = "Host decision modules on the simulator's wire (standard input and output).")
+final class SimHostCommand implements Callable<Integer> {
+
+    private static final Logger LOG = LoggerFactory.getLogger(SimHostCommand.class);
+
+    @Override
+    public Integer call() {
+        try {
+            new SimHost(System.in, System.out).run();
+            return 0;
+        } catch (WireException e) {
+            LOG.error("malformed input: {}", e.getMessage());
+        } catch (IOException e) {
+            LOG.error("input or output failed: {}", e.getMessage());
+        }
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/simhost/ConfigReader.java
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.simhost;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import ottergauge.DecisionApi.Discovery;
+import ottergauge.DecisionApi.Group;
+import ottergauge.DecisionApi.Limits;
+import ottergauge.DecisionApi.Prices;
+import ottergauge.DecisionApi.Repeat;
+import ottergauge.DecisionApi.RequestClass;
+import ottergauge.DecisionApi.Rules;
+import ottergauge.DecisionApi.Settings;
+import ottergauge.DecisionApi.Tenant;
+
+/** Translates the wire's settings object; an optional key that is missing takes the cautious value. */
+final class ConfigReader {
+
+    private final Map<String, Object> config;
+
+    private ConfigReader(Map<String, Object> config) {
+        this.config = config;
+    }
+
+    static Settings settings(Map<String, Object> config) {
+        ConfigReader root = new ConfigReader(config);
+        ConfigReader limits = root.child("ceilings");
+        ConfigReader rules = root.child("rules");
+        ConfigReader prices = root.child("penalties");
+        List<?> fields = root.child("reporting").list("fields");
+        boolean reports = !"off".equals(root.child("reporting").text("how", "off"));
+        return new Settings((int) root.number("me", 0), Math.max(1, (int) root.number("balancers", 1)),
+            root.list("zones").indexOf(root.text("zone", "")),
+            "pushed".equals(root.text("registryMode", "on_request")) ? Discovery.PUSHED : Discovery.ON_REQUEST,
+            !"off".equals(root.text("weights", "off")), reports && fields.contains("outstanding"),
+            root.number("overShareWorth", 1),
+            new Limits(limits.flag("probes"), limits.flag("peerMessages"), limits.flag("cancel"),
+                limits.flag("secondCopies"), limits.flag("retryAfter"),
+                Math.max(1, (int) limits.number("maxAttempts", 1)), limits.micros("maxRetryAfterMs", 0),
+                limits.micros("connectTimeoutMs", 250)),
+            new Rules(rules.micros("answerSlackMs", 0), rules.micros("stopSendingWithinMs", 0),
+                rules.micros("mustAskInMs", 10_000), rules.number("coldFrom", 0.1),
+                rules.micros("coldMs", 30_000), rules.number("tipMultiple", 1), rules.micros("fallMs", 1000)),
+            new Prices(prices.number("probe", 0), prices.number("crossZone", 0)),
+            root.children("classes").stream().map(ConfigReader::requestClass).toList(),
+            root.children("parties").stream().map(ConfigReader::tenant).toList());
+    }
+
+    private static RequestClass requestClass(ConfigReader c) {
+        Repeat repeat = switch (c.text("semantics", "single_shot")) {
+            case "free" -> Repeat.SAFE;
+            case "guarded" -> Repeat.KEYED;
+            default -> Repeat.UNSAFE;
+        };
+        Group group = switch (c.text("group", "cell")) {
+            case "all" -> Group.ALL;
+            case "zone" -> Group.ZONE;
+            default -> Group.CELL;
+        };
+        long deadline = c.micros("hardLimitMs", 30_000);
+        return new RequestClass(c.text("name", ""), repeat, group, c.micros("aimMs", deadline / 1000.0), deadline,
+            c.micros("windowMs", 0), c.number("value", 1), c.number("lateWorth", 0), c.flag("streamed"));
+    }
+
+    private static Tenant tenant(ConfigReader t) {
+        return new Tenant(t.text("name", ""), t.number("portion", 0), t.number("quotaPerS", 0));
+    }
+
+    static List<String> names(Map<String, Object> config, String key) {
+        List<String> names = new ArrayList<>();
+        for (Object name : new ConfigReader(config).list(key)) {
+            names.add(String.valueOf(name));
+        }
+        return names;
+    }
+
+    @SuppressWarnings("unchecked")
+    private ConfigReader child(String key) {
+        return new ConfigReader(config.get(key) instanceof Map<?, ?> map ? (Map<String, Object>) map : Map.of());
+    }
+
+    @SuppressWarnings("unchecked")
+    private List<ConfigReader> children(String key) {
+        List<ConfigReader> children = new ArrayList<>();
+        for (Object child : list(key)) {
+            if (child instanceof Map<?, ?> map) {
+                children.add(new ConfigReader((Map<String, Object>) map));
+            }
+        }
+        return children;
+    }
+
+    private List<?> list(String key) {
+        return config.get(key) instanceof List<?> list ? list : List.of();
+    }
+
+    private double number(String key, double absent) {
+        return config.get(key) instanceof Double number ? number : absent;
+    }
+
+    private long micros(String key, double absentMs) {
+        return Math.round(number(key, absentMs) * 1000);
+    }
+
+    private boolean flag(String key) {
+        return Boolean.TRUE.equals(config.get(key));
+    }
+
+    private String text(String key, String absent) {
+        return config.get(key) instanceof String text ? text : absent;
+    }
+}
