--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -78,6 +78,7 @@
     private static final double SILENT_ANSWERS = 5;
     /** The part of the aim that an answer may take at a server before its room shrinks. */
     private static final double ROOM_SHARE = 0.35;
+    /** What all nodes together start with at a server that none of them has had an answer from. */
     private static final double FIRST_ROOM = 2;
     /** Bars double from the first to the last. */
     private static final long FIRST_BAR = 100_000;
@@ -111,7 +112,7 @@
         long probedAt = NEVER;
         boolean probing;
         double service;
-        double room = FIRST_ROOM;
+        double room;
         boolean roomFound;
         long answeredAt = NEVER;
         int strikes;
@@ -167,6 +168,8 @@
     private final SplittableRandom random;
     private final int sharedRow;
     private final boolean sounds;
+    private final double firstRoom;
+    private final double leastRoom;
     private final Map<Long, Server> byId = new HashMap<>();
     private final ArrayList<Server> servers = new ArrayList<>();
     private final Map<String, Request> requests = new HashMap<>();
@@ -195,6 +198,8 @@
         usual = new double[sharedRow + 1];
         sounds = settings.limits().probes() && settings.reportsLoad()
             && settings.prices().probe() * 2 <= PROBE_SPEND;
+        firstRoom = FIRST_ROOM / settings.nodes();
+        leastRoom = firstRoom / 4;
         tokens = new double[settings.tenants().size()];
         tokensAt = new long[tokens.length];
         for (int t = 0; t < tokens.length; t++) {
@@ -453,8 +458,13 @@
     /** The next server of the rotation for this request, or null if none has room. The turn is not taken yet. */
     private Server next(Request q) {
         double mean = 0;
+        double room = 0;
         for (Server s : servers) {
             mean += s.out.size();
+            room += s.room;
+        }
+        if (!sounds && mean >= Math.max(1, room)) {
+            return null;
         }
         mean /= Math.max(1, servers.size());
         double least = Double.MAX_VALUE;
@@ -497,7 +507,7 @@
 
     private boolean open(Server s) {
         return s.state == ServerState.UP && now >= s.barredUntil && !mute(s)
-            && (sounds || s.out.size() < (int) (s.strikes > 0 ? 1 : s.room)) && coldBudgetLeft(s);
+            && (sounds || s.out.size() < (s.strikes > 0 ? 1 : Math.max(1, s.room))) && coldBudgetLeft(s);
     }
 
     private double serviceOf(Server s) {
@@ -649,6 +659,7 @@
                 s.lost = true;
                 strike(s);
             }
+            case TIMED_OUT -> learn(s, a, e.elapsed());
             case REJECTED -> s.barredUntil = Math.max(s.barredUntil, now + (long) (service / 2));
             default -> { }
         }
@@ -657,6 +668,14 @@
     private void served(Server s, Attempt a, long elapsed) {
         sample(s, a.request.row, elapsed);
         answered(s);
+        learn(s, a, elapsed);
+    }
+
+    /**
+     * What an attempt took, or took at the least: one that ran out of time counts as well. Left out, the
+     * means hold only the quick ones just when all is slow, and ever more work is sent that will be late.
+     */
+    private void learn(Server s, Attempt a, long elapsed) {
         int row = a.request.row;
         usual[row] = blend(usual[row], elapsed);
         double alone = elapsed / (1 + a.loadBefore);
@@ -673,9 +692,9 @@
     private void adjustRoom(Server s, double part) {
         if (part > ROOM_SHARE) {
             s.roomFound = true;
-            s.room = Math.max(1, s.room - Math.min(1, part / ROOM_SHARE - 1) / 2);
+            s.room = Math.max(leastRoom, s.room - Math.min(1, part / ROOM_SHARE - 1) / 2);
         } else if (s.out.size() + 2 > s.room) {
-            s.room += s.roomFound ? 1 / s.room : 0.5;
+            s.room += s.roomFound ? 1 / Math.max(1, s.room * settings.nodes()) : 1.0 / settings.nodes();
         }
     }
 
@@ -695,7 +714,7 @@
         }
         s.barredUntil = now + FIRST_BAR * (1L << s.strikes) / 2 + random.nextLong(FIRST_BAR * (1L << s.strikes));
         s.strikes = Math.min(MOST_STRIKES, s.strikes + 1);
-        s.room = FIRST_ROOM;
+        s.room = firstRoom;
     }
 
     private void probeEnded(ProbeEnded e) {
@@ -800,6 +819,7 @@
             Server s = byId.get(e.id());
             if (s == null) {
                 s = new Server(e, sharedRow + 1);
+                s.room = firstRoom;
                 byId.put(s.id, s);
                 for (int row = 0; row <= sharedRow; row++) {
                     s.current[row] = random.nextDouble() * WEIGHT_TOTAL;
@@ -810,7 +830,7 @@
                 s.service = 0;
                 s.strikes = 0;
                 s.barredUntil = NEVER;
-                s.room = FIRST_ROOM;
+                s.room = firstRoom;
             }
             s.entry = e;
             s.state = e.state();
