--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -114,6 +114,7 @@
         double service;
         double room;
         boolean roomFound;
+        long restsUntil = NEVER;
         long answeredAt = NEVER;
         int strikes;
         long barredUntil = NEVER;
@@ -507,7 +508,7 @@
 
     private boolean open(Server s) {
         return s.state == ServerState.UP && now >= s.barredUntil && !mute(s)
-            && (sounds || s.out.size() < (s.strikes > 0 ? 1 : Math.max(1, s.room))) && coldBudgetLeft(s);
+            && (sounds || now >= s.restsUntil && s.out.size() < (s.strikes > 0 ? 1 : Math.max(1, s.room))) && coldBudgetLeft(s);
     }
 
     private double serviceOf(Server s) {
@@ -621,6 +622,7 @@
         s.load = Math.max(0, s.load - 1);
         report(s, e.report());
         judge(s, a, e);
+        rest(s, e.elapsed());
         if (!e.result().neverRan() && q.firstThatMayHaveRun == null) {
             q.firstThatMayHaveRun = a;
         }
@@ -684,6 +686,16 @@
         adjustRoom(s, elapsed / (double) a.request.type.aim());
     }
 
+    /**
+     * Room under one is kept by pauses between attempts. Without them many nodes, one attempt each, keep a
+     * server jammed that has become slow by having too much to do.
+     */
+    private void rest(Server s, long elapsed) {
+        if (!sounds && s.out.isEmpty() && s.room < 1) {
+            s.restsUntil = now + (long) (elapsed * (1 / s.room - 1));
+        }
+    }
+
     private static double blend(double mean, double sample) {
         return mean == 0 ? sample : mean + BLEND * (sample - mean);
     }
