Hold by worth, then by the end of use; give up with twice the usual time left

Cause: ranking by worth over work starved the class with the longest work, and requests that had waited to the edge of their aim were sent and timed out, their work going on.

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -71,13 +71,15 @@
     private static final double FIT_PART = 0.75;
     /** Less than this part of a service time left to the aim: the request can no longer make it. */
     private static final double DOOMED_PART = 0.6;
+    /** Where loads are not known, the time left must cover this multiple of what the class usually takes. */
+    private static final double LATE_PART = 2;
     /** A sounded server that has not answered for this multiple of the usual trip is mute. */
     private static final double MUTE_TRIPS = 4;
     private static final long FIRST_TRIP = 1_000;
     /** Silence is proven when this many answers should have come and none did: e^-5 is under 1 in 100. */
     private static final double SILENT_ANSWERS = 5;
     /** The part of the aim that an answer may take at a server before its room shrinks. */
-    private static final double ROOM_SHARE = 0.35;
+    private static final double ROOM_SHARE = 0.25;
     /** What all nodes together start with at a server that none of them has had an answer from. */
     private static final double FIRST_ROOM = 2;
     /** Bars double from the first to the last. */
@@ -264,8 +266,7 @@
         long usefulUntil = Math.max(now, type.lateWorth() > 0 ? e.giveUpAt() : Math.min(aimAt, e.giveUpAt()));
         double worth = type.worth() * (withinShare(e.tenant()) ? 1 : settings.overShareWorth());
         int row = Math.min(e.requestClass(), sharedRow);
-        double work = usual[row] > 0 ? usual[row] : type.aim();
-        double rank = worth * (e.clientRepeat() ? 0.5 : 1) / work;
+        double rank = worth * (e.clientRepeat() ? 0.5 : 1);
         Request q = new Request(e.id(), requestNumber++, type, row, usefulUntil, rank);
         requests.put(q.id, q);
         hold(q);
@@ -289,7 +290,7 @@
 
     private static int order(Request a, Request b) {
         int byRank = Double.compare(b.rank, a.rank);
-        return byRank != 0 ? byRank : Long.compare(a.number, b.number);
+        return byRank != 0 ? byRank : orderByEnd(a, b);
     }
 
     private static int orderByEnd(Request a, Request b) {
@@ -577,7 +578,7 @@
     }
 
     private boolean doomed(Request q) {
-        double needed = DOOMED_PART * (sounds ? service : usual[q.row]);
+        double needed = sounds ? DOOMED_PART * service : LATE_PART * usual[q.row];
         return now + needed >= q.usefulUntil;
     }
 
