Judge a client's repeat by the aim of its first try

Also: a report that comes with an answer counted the answered attempt, and silence was judged before any service time was known (first attempts cancelled after 15 ms).

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -180,6 +180,7 @@
     private final TreeSet<Request> heldByEnd = new TreeSet<>(Decide::orderByEnd);
     private final double[] tokens;
     private final long[] tokensAt;
+    private final long[] longestTry;
     private final boolean[] rowLive;
     private final double[] usual;
     private double service;
@@ -197,6 +198,7 @@
         this.settings = settings;
         random = new SplittableRandom(seed);
         sharedRow = Math.min(settings.classes().size(), MOST_ROWS);
+        longestTry = new long[settings.classes().size()];
         rowLive = new boolean[sharedRow + 1];
         usual = new double[sharedRow + 1];
         sounds = settings.limits().probes() && settings.reportsLoad()
@@ -262,16 +264,34 @@
 
     private void arrive(RequestArrived e) {
         RequestClass type = settings.classes().get(e.requestClass());
-        long aimAt = now + type.aim() - CLIENT_TRIP;
+        boolean again = isRepeat(e, type);
+        long began = again ? Math.min(now, e.giveUpAt() - type.deadline()) : now;
+        long aimAt = began + type.aim() - CLIENT_TRIP;
         long usefulUntil = Math.max(now, type.lateWorth() > 0 ? e.giveUpAt() : Math.min(aimAt, e.giveUpAt()));
         double worth = type.worth() * (withinShare(e.tenant()) ? 1 : settings.overShareWorth());
         int row = Math.min(e.requestClass(), sharedRow);
-        double rank = worth * (e.clientRepeat() ? 0.5 : 1);
+        double rank = worth;
         Request q = new Request(e.id(), requestNumber++, type, row, usefulUntil, rank);
         requests.put(q.id, q);
         hold(q);
     }
 
+    /**
+     * Departure "repeats": a client's repeat is judged by the aim of its first try, which began one deadline
+     * before the repeat's end. Taken for a new request, it draws work for an answer that is worth nothing.
+     * Where clients do not mark repeats, one shows by less time left than a first try has.
+     */
+    private boolean isRepeat(RequestArrived e, RequestClass type) {
+        if (settings.repeatsMarked()) {
+            return e.clientRepeat();
+        }
+        long left = e.giveUpAt() - now;
+        if (left > longestTry[e.requestClass()]) {
+            longestTry[e.requestClass()] = left;
+        }
+        return left < longestTry[e.requestClass()] - settings.rules().answerSlack();
+    }
+
     /** A tenant's requests past its share of the quota are worth little: they are served after the others. */
     private boolean withinShare(int tenant) {
         if (tenant < 0) {
@@ -542,9 +562,10 @@
         return s.probing && now - s.probedAt > MUTE_TRIPS * trip;
     }
 
-    private void report(Server s, LoadReport report) {
+    /** Takes a load report; one that came with an answer still counts the attempt that it answered. */
+    private void report(Server s, LoadReport report, int own) {
         if (!Double.isNaN(report.inFlight())) {
-            s.load = Math.max(0, Math.rint(report.inFlight()));
+            s.load = Math.max(0, Math.rint(report.inFlight()) - own);
             s.reportedAt = now;
         }
     }
@@ -621,7 +642,7 @@
         q.out.remove(a);
         s.out.remove(a);
         s.load = Math.max(0, s.load - 1);
-        report(s, e.report());
+        report(s, e.report(), e.result() == Result.SERVED ? 1 : 0);
         judge(s, a, e);
         rest(s, e.elapsed());
         if (!e.result().neverRan() && q.firstThatMayHaveRun == null) {
@@ -738,7 +759,7 @@
         s.probing = false;
         if (e.result() == Result.SERVED) {
             trip = blend(trip, e.elapsed());
-            report(s, e.report());
+            report(s, e.report(), 0);
             answered(s);
         } else {
             s.lost |= e.result() == Result.CONNECT_FAILED || e.result() == Result.RESET;
@@ -767,7 +788,7 @@
             double due = 0;
             for (Attempt a : s.out) {
                 double expected = sounds ? serviceOf(s) * (a.loadBefore + 1) : usual[a.request.row];
-                due += (now - Math.max(a.sentAt, s.answeredAt)) / Math.max(expected, 1_000);
+                due += expected > 0 ? (now - Math.max(a.sentAt, s.answeredAt)) / expected : 0;
             }
             if (due > SILENT_ANSWERS) {
                 barred++;
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -43,9 +43,9 @@
     /** What is taken off the result for each unit: a probe a request, an attempt that crosses zones. */
     public record Prices(double probe, double crossZone) { }
 
-    /** All that a node is told at its start. {@code sized} says that a server's nominal size has a meaning. */
-    public record Settings(int node, int nodes, int zone, Discovery discovery, boolean sized, boolean reportsLoad,
-                           double overShareWorth, Limits limits, Rules rules, Prices prices,
+    /** All that a node is told at its start. {@code repeatsMarked}: clients mark their repeats. */
+    public record Settings(int node, int nodes, int zone, Discovery discovery, boolean reportsLoad,
+                           boolean repeatsMarked, double overShareWorth, Limits limits, Rules rules, Prices prices,
                            List<RequestClass> classes, List<Tenant> tenants) { }
 
     // ---- Events ---------------------------------------------------------------------------------
--- a/src/main/java/ottergauge/simhost/ConfigReader.java
+++ b/src/main/java/ottergauge/simhost/ConfigReader.java
@@ -33,7 +33,7 @@
         return new Settings((int) root.number("me", 0), Math.max(1, (int) root.number("balancers", 1)),
             root.list("zones").indexOf(root.text("zone", "")),
             "pushed".equals(root.text("registryMode", "on_request")) ? Discovery.PUSHED : Discovery.ON_REQUEST,
-            !"off".equals(root.text("weights", "off")), reports && fields.contains("outstanding"),
+            reports && fields.contains("outstanding"), root.child("clients").flag("marksRetry"),
             root.number("overShareWorth", 1),
             new Limits(limits.flag("probes"), limits.flag("peerMessages"), limits.flag("cancel"),
                 limits.flag("secondCopies"), limits.flag("retryAfter"),
