--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -183,6 +183,8 @@
     private final long[] longestTry;
     private final boolean[] rowLive;
     private final double[] usual;
+    private long sent;
+    private double sendRate;
     private double service;
     private double trip = FIRST_TRIP;
     private long requestNumber;
@@ -426,6 +428,8 @@
     }
 
     private void endWindow() {
+        sendRate = sent / (double) WINDOW / Math.max(1, servers.size());
+        sent = 0;
         while (now >= windowEnd) {
             windowEnd += WINDOW;
         }
@@ -618,6 +622,7 @@
         q.out.add(a);
         s.out.add(a);
         s.load += 1;
+        sent++;
         if (warmth(s) < 1) {
             s.coldSends.add(now);
         }
@@ -821,7 +826,10 @@
         return from + (1 - from) * age / settings.rules().coldFor();
     }
 
-    /** This node's part of what a cold server may be sent, from what it sends to warm ones in the same span. */
+    /**
+     * This node's part of what a cold server may be sent before it falls over: of what a server does alone
+     * where loads are known, else of what this node sends to the mean server, which that one carries.
+     */
     private boolean coldBudgetLeft(Server s) {
         double warmth = warmth(s);
         if (warmth >= 1) {
@@ -831,7 +839,8 @@
         while (!s.coldSends.isEmpty() && now - s.coldSends.peekFirst() >= settings.rules().fallAfter()) {
             s.coldSends.removeFirst();
         }
-        double capacity = service > 0 ? settings.rules().fallAfter() / service / settings.nodes() : 0;
+        double perServer = sounds && service > 0 ? 1 / service / settings.nodes() : sendRate;
+        double capacity = settings.rules().fallAfter() * perServer;
         double budget = COLD_CAUTION * settings.rules().tipMultiple() * warmth * capacity;
         return s.coldSends.size() < Math.max(1, (int) budget);
     }
--- /dev/null
+++ b/src/test/java/ottergauge/History.java
@@ -0,0 +1,289 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import ottergauge.DecisionApi.Action;
+import ottergauge.DecisionApi.AttemptEnded;
+import ottergauge.DecisionApi.Cancel;
+import ottergauge.DecisionApi.ClientGone;
+import ottergauge.DecisionApi.Event;
+import ottergauge.DecisionApi.Fail;
+import ottergauge.DecisionApi.Group;
+import ottergauge.DecisionApi.ListFailed;
+import ottergauge.DecisionApi.ListScope;
+import ottergauge.DecisionApi.ListedServer;
+import ottergauge.DecisionApi.LoadReport;
+import ottergauge.DecisionApi.Probe;
+import ottergauge.DecisionApi.ProbeEnded;
+import ottergauge.DecisionApi.Refuse;
+import ottergauge.DecisionApi.Repeat;
+import ottergauge.DecisionApi.RequestArrived;
+import ottergauge.DecisionApi.RequestClass;
+import ottergauge.DecisionApi.Result;
+import ottergauge.DecisionApi.Send;
+import ottergauge.DecisionApi.ServerList;
+import ottergauge.DecisionApi.ServerState;
+import ottergauge.DecisionApi.SetTimer;
+import ottergauge.DecisionApi.Settings;
+import ottergauge.DecisionApi.Subscribe;
+import ottergauge.DecisionApi.TimerFired;
+
+/** A random but legal history of events for one module, which checks the four rules at every action. */
+final class History {
+    private static final int SERVERS = 8;
+    private static final long SERVICE = 100_000;
+
+    private record Planned(long at, long number, Event event, Attempt attempt) { }
+
+    private static final class Attempt {
+        final Request request;
+        final int number;
+        final long server;
+        final long sentAt;
+        Result ended;
+
+        Attempt(Request request, int number, long server, long sentAt) {
+            this.request = request;
+            this.number = number;
+            this.server = server;
+            this.sentAt = sentAt;
+        }
+
+        boolean mayHaveRun() {
+            return ended == null || !ended.neverRan();
+        }
+    }
+
+    private static final class Request {
+        final RequestClass type;
+        final long giveUpAt;
+        final List<Attempt> attempts = new ArrayList<>();
+        boolean over;
+
+        Request(RequestClass type, long giveUpAt) {
+            this.type = type;
+            this.giveUpAt = giveUpAt;
+        }
+    }
+
+    final Node node;
+    int sends;
+    int finals;
+    int again;
+    private final Settings settings;
+    private final SplittableRandom random;
+    private final PriorityQueue<Planned> plan =
+        new PriorityQueue<>(Comparator.comparingLong(Planned::at).thenComparingLong(Planned::number));
+    private final Map<String, Request> requests = new HashMap<>();
+    private final Map<Long, Long> toldToStop = new HashMap<>();
+    private final Map<Long, Long> startedAt = new HashMap<>();
+    private final Map<Long, List<Long>> coldSends = new HashMap<>();
+    private long planned;
+    private long nextServer = SERVERS + 1;
+
+    History(TestSettings with, long seed) {
+        settings = with.build();
+        random = new SplittableRandom(seed);
+        node = new Node(settings, seed);
+    }
+
+    void run(int arrivals) {
+        take(node.servers(SERVERS));
+        long at = node.now;
+        for (int i = 0; i < arrivals; i++) {
+            at += random.nextLong(60_000);
+            int type = random.nextInt(settings.classes().size());
+            long left = settings.classes().get(type).deadline() * (random.nextInt(4) == 0 ? 1 : 2) / 2;
+            plan(at, new RequestArrived("q" + i, type, settings.tenants().isEmpty() ? -1 : 0, at + left,
+                random.nextInt(10) == 0), null);
+            if (random.nextInt(20) == 0) {
+                plan(at + random.nextLong(left), new ClientGone("q" + i), null);
+            }
+            if (random.nextInt(60) == 0) {
+                plan(at, change(at), null);
+            }
+            if (settings.discovery() == DecisionApi.Discovery.ON_REQUEST && random.nextInt(300) == 0) {
+                plan(at, new ListFailed(), null);
+            }
+        }
+        while (!plan.isEmpty()) {
+            step(plan.poll());
+        }
+        requests.forEach((id, q) -> check(q.over, id + " got no final answer"));
+    }
+
+    private Event change(long at) {
+        long id = 1 + random.nextLong(nextServer - 1);
+        ServerState state = switch (random.nextInt(6)) {
+            case 0 -> ServerState.DRAINING;
+            case 1 -> ServerState.GONE;
+            default -> ServerState.UP;
+        };
+        if (random.nextInt(3) == 0) {
+            id = nextServer++;
+            state = ServerState.UP;
+        }
+        long started = state == ServerState.UP && random.nextBoolean() ? at - random.nextLong(3_000_000) : 0;
+        return new ServerList(ListScope.CHANGES, List.of(Node.server(id, state, started)));
+    }
+
+    private void plan(long at, Event event, Attempt attempt) {
+        plan.add(new Planned(at, planned++, event, attempt));
+    }
+
+    private void step(Planned next) {
+        node.now = next.at;
+        requests.forEach((id, q) -> check(q.over || node.now <= q.giveUpAt + settings.rules().answerSlack(),
+            id + " is overdue"));
+        Event event = next.event;
+        if (event instanceof AttemptEnded e) {
+            if (next.attempt.ended != null) {
+                return;
+            }
+            next.attempt.ended = e.result();
+            Request q = next.attempt.request;
+            boolean over = q.over || e.result() == Result.SERVED;
+            q.over = over;
+            event = new AttemptEnded(e.id(), e.attempt(), e.server(), e.result(), node.now - next.attempt.sentAt,
+                over, e.report());
+        } else if (event instanceof ClientGone e && requests.containsKey(e.id())) {
+            requests.get(e.id()).over = true;
+        } else if (event instanceof RequestArrived e) {
+            requests.put(e.id(), new Request(settings.classes().get(e.requestClass()), e.giveUpAt()));
+        } else if (event instanceof ServerList e) {
+            told(e.servers().get(0));
+        }
+        take(node.on(event));
+    }
+
+    private void told(ListedServer s) {
+        if (s.state() == ServerState.UP) {
+            toldToStop.remove(s.id());
+        } else {
+            toldToStop.putIfAbsent(s.id(), node.now);
+        }
+        if (s.startedAt() > startedAt.getOrDefault(s.id(), 0L)) {
+            startedAt.put(s.id(), s.startedAt());
+            coldSends.put(s.id(), new ArrayList<>());
+        }
+    }
+
+    private void take(List<Action> actions) {
+        for (Action action : actions) {
+            if (action instanceof Send a) {
+                sent(a);
+            } else if (action instanceof Refuse a) {
+                Request q = requests.get(a.id());
+                check(mayRefuse(q), a.id() + " was refused though it may have run");
+                ended(a.id(), q);
+            } else if (action instanceof Fail a) {
+                ended(a.id(), requests.get(a.id()));
+            } else if (action instanceof Cancel a) {
+                Attempt attempt = requests.get(a.id()).attempts.get(a.attempt());
+                plan(node.now + random.nextLong(2_000), outcome(a.id(), attempt, Result.CANCELLED), attempt);
+            } else if (action instanceof Probe a) {
+                Result result = random.nextInt(10) == 0 ? Result.CONNECT_FAILED : Result.SERVED;
+                long wait = random.nextInt(10) == 0 ? 40_000 : 500;
+                plan(node.now + wait, new ProbeEnded(a.server(), result, wait, report()), null);
+            } else if (action instanceof SetTimer a) {
+                check(a.delay() > 0, "a timer in the past");
+                if (!requests.values().stream().allMatch(q -> q.over) || !plan.isEmpty()) {
+                    plan(node.now + a.delay(), new TimerFired(a.token()), null);
+                }
+            } else if (action instanceof Subscribe) {
+                check(settings.discovery() == DecisionApi.Discovery.ON_REQUEST, "nobody is to be asked");
+            }
+        }
+    }
+
+    private LoadReport report() {
+        return new LoadReport(0, 0, random.nextDouble(), Double.NaN, Double.NaN);
+    }
+
+    private void ended(String id, Request q) {
+        check(!q.over, id + " got a second final answer");
+        check(node.now <= q.giveUpAt + settings.rules().answerSlack(), id + " was answered late");
+        q.over = true;
+        finals++;
+    }
+
+    private static boolean mayRefuse(Request q) {
+        return q.type.repeat() == Repeat.SAFE || q.attempts.stream().noneMatch(Attempt::mayHaveRun)
+            || q.type.repeat() == Repeat.KEYED && q.type.group() == Group.ALL;
+    }
+
+    private void sent(Send send) {
+        Request q = requests.get(send.id());
+        check(!q.over, send.id() + " was sent after its end");
+        check(q.attempts.size() < settings.limits().maxAttempts(), send.id() + " was sent too often");
+        check(settings.limits().secondCopies() || q.attempts.stream().noneMatch(a -> a.ended == null),
+            send.id() + " has two attempts out");
+        for (Attempt earlier : q.attempts) {
+            if (!earlier.mayHaveRun()) {
+                continue;
+            }
+            check(q.type.repeat() != Repeat.UNSAFE, send.id() + " may have run and was sent again");
+            if (q.type.repeat() == Repeat.KEYED) {
+                check(q.type.group() == Group.ALL || earlier.server % 2 == send.server() % 2,
+                    send.id() + " was sent again outside its group");
+                check(node.now <= earlier.sentAt + q.type.window(), send.id() + " was sent again past its window");
+            }
+        }
+        Long told = toldToStop.get(send.server());
+        check(told == null || node.now <= told + settings.rules().drainGrace(), "sent to a server that drains");
+        cold(send);
+        again += q.attempts.isEmpty() ? 0 : 1;
+        sends++;
+        Attempt attempt = new Attempt(q, q.attempts.size(), send.server(), node.now);
+        q.attempts.add(attempt);
+        long limit = send.timeout() == 0 ? q.giveUpAt - node.now : Math.min(send.timeout(), q.giveUpAt - node.now);
+        Result result = Result.SERVED;
+        long wait = SERVICE / 2 + random.nextLong(SERVICE);
+        switch (random.nextInt(40)) {
+            case 0 -> result = Result.ERROR;
+            case 1 -> result = Result.RESET;
+            case 2 -> result = Result.REJECTED;
+            case 3 -> result = Result.CONNECT_FAILED;
+            case 4, 5 -> wait = Long.MAX_VALUE;
+            default -> { }
+        }
+        if (wait >= limit) {
+            result = Result.TIMED_OUT;
+            wait = Math.max(0, limit);
+        }
+        plan(node.now + wait, outcome(send.id(), attempt, result), attempt);
+    }
+
+    private Event outcome(String id, Attempt attempt, Result result) {
+        return new AttemptEnded(id, attempt.number, attempt.server, result, 0, false, report());
+    }
+
+    /** Rule 4, as a budget for this node: its part of what tips the server over, with one send always allowed. */
+    private void cold(Send send) {
+        long started = startedAt.getOrDefault(send.server(), 0L);
+        long age = node.now - started;
+        if (started == 0 || age >= settings.rules().coldFor()) {
+            return;
+        }
+        List<Long> sent = coldSends.get(send.server());
+        sent.add(node.now);
+        long inSpan = sent.stream().filter(at -> at > node.now - settings.rules().fallAfter()).count();
+        double warmth = settings.rules().coldFrom()
+            + (1 - settings.rules().coldFrom()) * age / settings.rules().coldFor();
+        double budget = settings.rules().tipMultiple() * warmth * settings.rules().fallAfter() / SERVICE
+            / settings.nodes();
+        check(inSpan <= Math.max(1, budget), "a cold server was sent " + inSpan + " of " + budget);
+    }
+
+    private static void check(boolean holds, String message) {
+        if (!holds) {
+            throw new AssertionError(message);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/HistoryTest.java
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import ottergauge.DecisionApi.Discovery;
+import ottergauge.DecisionApi.Group;
+import ottergauge.DecisionApi.Repeat;
+import ottergauge.DecisionApi.Tenant;
+
+/** The four rules as invariants over seeded random histories; {@link History} checks every action. */
+class HistoryTest {
+
+    private static TestSettings mixed() {
+        TestSettings settings = new TestSettings();
+        settings.classes = List.of(TestSettings.type("safe", Repeat.SAFE, Group.ALL, 1),
+            TestSettings.type("keyed-all", Repeat.KEYED, Group.ALL, 2),
+            TestSettings.type("keyed-zone", Repeat.KEYED, Group.ZONE, 3),
+            TestSettings.type("keyed-cell", Repeat.KEYED, Group.CELL, 4),
+            TestSettings.type("unsafe", Repeat.UNSAFE, Group.ALL, 5));
+        settings.tenants = List.of(new Tenant("t", 1, 50));
+        settings.nodes = 3;
+        return settings;
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void theRulesHoldWithoutProbes(long seed) {
+        History history = new History(mixed(), seed);
+        history.run(1500);
+        assertTrue(history.sends > 500, "sends " + history.sends);
+        assertTrue(history.finals > 50, "finals " + history.finals);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18})
+    void theRulesHoldWithProbesAndSecondCopies(long seed) {
+        TestSettings settings = mixed();
+        settings.probes = true;
+        settings.secondCopies = true;
+        settings.repeatsMarked = false;
+        settings.discovery = Discovery.ON_REQUEST;
+        History history = new History(settings, seed);
+        history.run(1500);
+        assertTrue(history.sends > 500, "sends " + history.sends);
+        assertTrue(history.again > 0, "no further attempt was made");
+    }
+
+    @Test
+    void theSameEventsGiveTheSameActions() {
+        History one = new History(mixed(), 5);
+        History two = new History(mixed(), 5);
+        one.run(500);
+        two.run(500);
+        assertEquals(one.node.all, two.node.all);
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/TestSettings.java
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge;
+
+import java.util.List;
+import ottergauge.DecisionApi.Discovery;
+import ottergauge.DecisionApi.Group;
+import ottergauge.DecisionApi.Limits;
+import ottergauge.DecisionApi.Prices;
+import ottergauge.DecisionApi.Repeat;
+import ottergauge.DecisionApi.RequestClass;
+import ottergauge.DecisionApi.Rules;
+import ottergauge.DecisionApi.Settings;
+import ottergauge.DecisionApi.Tenant;
+
+/** Builds settings; the defaults are a site without probes, reports or tenants and with one safe class. */
+final class TestSettings {
+    boolean probes;
+    boolean secondCopies;
+    boolean repeatsMarked = true;
+    int nodes = 1;
+    int maxAttempts = 5;
+    List<RequestClass> classes = List.of(type(Repeat.SAFE, Group.ALL));
+    List<Tenant> tenants = List.of();
+    Discovery discovery = Discovery.PUSHED;
+
+    static RequestClass type(Repeat repeat, Group group) {
+        return type("work", repeat, group, 1);
+    }
+
+    static RequestClass type(String name, Repeat repeat, Group group, double worth) {
+        return new RequestClass(name, repeat, group, 1_000_000, 2_000_000, 800_000, worth, 0, false);
+    }
+
+    Settings build() {
+        return new Settings(0, nodes, 0, discovery, probes, repeatsMarked, 0.1,
+            new Limits(probes, false, true, secondCopies, true, maxAttempts, 600_000, 250_000),
+            new Rules(5_000, 500_000, 10_000_000, 0.2, 10_000_000, 3, 1_000_000), new Prices(0.002, 0.005),
+            classes, tenants);
+    }
+}
