--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -113,7 +113,7 @@
         long reportedAt = NEVER;
         long probedAt = NEVER;
         boolean probing;
-        double service;
+        double slowness;
         double room;
         boolean roomFound;
         long restsUntil = NEVER;
@@ -536,9 +536,12 @@
             && (sounds || now >= s.restsUntil && s.out.size() < (s.strikes > 0 ? 1 : Math.max(1, s.room))) && coldBudgetLeft(s);
     }
 
+    /**
+     * The fleet's service time by how much slower than the fleet this server is. A mean of its own sees too
+     * few answers to follow when everything becomes slow, and work goes on being sent that will be late.
+     */
     private double serviceOf(Server s) {
-        double known = s.service > 0 ? s.service : service;
-        return known / warmth(s);
+        return service * (s.slowness > 0 ? s.slowness : 1) / warmth(s);
     }
 
     /** Whether the request can be expected to end at this server while its answer still has worth. */
@@ -709,7 +712,7 @@
         usual[row] = blend(usual[row], elapsed);
         double alone = elapsed / (1 + a.loadBefore);
         service = blend(service, alone);
-        s.service = blend(s.service, alone);
+        s.slowness = blend(s.slowness, alone / service);
         adjustRoom(s, elapsed / (double) a.request.type.aim());
     }
 
@@ -870,7 +873,7 @@
                 s.coldSince = startOf(e);
             } else if (e.startedAt() > s.entry.startedAt()) {
                 s.coldSince = Math.max(s.coldSince, startOf(e));
-                s.service = 0;
+                s.slowness = 0;
                 s.strikes = 0;
                 s.barredUntil = NEVER;
                 s.room = firstRoom;
