--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -78,6 +78,8 @@
     private static final long FIRST_TRIP = 1_000;
     /** Silence is proven when this many answers should have come and none did: e^-5 is under 1 in 100. */
     private static final double SILENT_ANSWERS = 5;
+    /** One attempt proves no more than this: a costly request also makes a server look silent. */
+    private static final double SILENT_EACH = 3;
     /** The part of the aim that an answer may take at a server before its room shrinks. */
     private static final double ROOM_SHARE = 0.25;
     /** What all nodes together start with at a server that none of them has had an answer from. */
@@ -796,7 +798,8 @@
             double due = 0;
             for (Attempt a : s.out) {
                 double expected = sounds ? serviceOf(s) * (a.loadBefore + 1) : usual[a.request.row];
-                due += expected > 0 ? (now - Math.max(a.sentAt, s.answeredAt)) / expected : 0;
+                double waits = expected > 0 ? (now - Math.max(a.sentAt, s.answeredAt)) / expected : 0;
+                due += Math.min(waits, SILENT_EACH);
             }
             if (due > SILENT_ANSWERS) {
                 barred++;
