--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -116,6 +116,7 @@
         long probedAt = NEVER;
         boolean probing;
         double slowness;
+        double utilization = 1;
         double room;
         boolean roomFound;
         long restsUntil = NEVER;
@@ -577,6 +578,9 @@
             s.load = Math.max(0, Math.rint(report.inFlight()) - own);
             s.reportedAt = now;
         }
+        if (!Double.isNaN(report.utilization())) {
+            s.utilization = report.utilization();
+        }
     }
 
     // ==== Sending ====================================================================================
@@ -734,6 +738,9 @@
 
     /** Departure "room": what may be out at a server follows how much of the aim its answers take. */
     private void adjustRoom(Server s, double part) {
+        if (part > ROOM_SHARE && part < 0.9 && s.utilization < 0.8) {
+            return;
+        }
         if (part > ROOM_SHARE) {
             s.roomFound = true;
             s.room = Math.max(leastRoom, s.room - Math.min(1, part / ROOM_SHARE - 1) / 2);
