--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -83,6 +83,8 @@
     /** The part of the aim that an answer may take at a server before its room shrinks. */
     private static final double ROOM_SHARE = 0.25;
     /** What all nodes together start with at a server that none of them has had an answer from. */
+    /** A server that reports less than this part of its cores busy is not crowded. */
+    private static final double IDLE_CORES = 0.8;
     private static final double FIRST_ROOM = 2;
     /** Bars double from the first to the last. */
     private static final long FIRST_BAR = 100_000;
@@ -738,10 +740,8 @@
 
     /** Departure "room": what may be out at a server follows how much of the aim its answers take. */
     private void adjustRoom(Server s, double part) {
-        if (part > ROOM_SHARE && part < 0.9 && s.utilization < 0.8) {
-            return;
-        }
-        if (part > ROOM_SHARE) {
+        boolean idle = s.utilization < IDLE_CORES && part < 1 - ROOM_SHARE;
+        if (part > ROOM_SHARE && !idle) {
             s.roomFound = true;
             s.room = Math.max(leastRoom, s.room - Math.min(1, part / ROOM_SHARE - 1) / 2);
         } else if (s.out.size() + 2 > s.room) {
