With half of its aim left a request is always worth a try

Told from shedding by worth by the inverted order, and from a sick server by the even spread over servers: each node had locked out one or two classes.

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -613,9 +613,13 @@
         }
     }
 
+    /**
+     * Whether too little time is left. With half of its aim left a request is always worth a try: a class that
+     * is refused on arrival yields no samples, and would be refused for ever after one bad spell.
+     */
     private boolean doomed(Request q) {
         double needed = sounds ? DOOMED_PART * service : LATE_PART * usual[q.row];
-        return now + needed >= q.usefulUntil;
+        return now + Math.min(needed, q.type.aim() / 2.0) >= q.usefulUntil;
     }
 
     private void probe(Server s) {
