--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -4,7 +4,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
@@ -82,9 +81,9 @@
     private static final double SILENT_EACH = 3;
     /** The part of the aim that an answer may take at a server before its room shrinks. */
     private static final double ROOM_SHARE = 0.25;
-    /** What all nodes together start with at a server that none of them has had an answer from. */
     /** A server that reports less than this part of its cores busy is not crowded. */
     private static final double IDLE_CORES = 0.8;
+    /** What all nodes together start with at a server that none of them has had an answer from. */
     private static final double FIRST_ROOM = 2;
     /** Bars double from the first to the last. */
     private static final long FIRST_BAR = 100_000;
@@ -453,7 +452,7 @@
         }
     }
 
-    /** Weights of a row: the floor of each server's part of the inverse means, times the total, at least one. */
+    /** Weights of a row: the floor of a server's part of the inverse means, times the total, at least one. */
     private void weigh(int row) {
         double known = 0;
         int samples = 0;
@@ -486,7 +485,7 @@
         return rowLive[q.row] ? q.row : sharedRow;
     }
 
-    /** The next server of the rotation for this request, or null if none has room. The turn is not taken yet. */
+    /** The next server of the rotation for a request, or null if none has room. The turn is not taken yet. */
     private Server next(Request q) {
         double mean = 0;
         double room = 0;
@@ -537,8 +536,9 @@
     // ==== Room: what a server can take within the aim ================================================
 
     private boolean open(Server s) {
-        return s.state == ServerState.UP && now >= s.barredUntil && !mute(s)
-            && (sounds || now >= s.restsUntil && s.out.size() < (s.strikes > 0 ? 1 : Math.max(1, s.room))) && coldBudgetLeft(s);
+        double most = s.strikes > 0 ? 1 : Math.max(1, s.room);
+        return s.state == ServerState.UP && now >= s.barredUntil && !mute(s) && coldBudgetLeft(s)
+            && (sounds || now >= s.restsUntil && s.out.size() < most);
     }
 
     /**
@@ -567,7 +567,8 @@
 
     private boolean known(Server s) {
         long age = now - s.reportedAt;
-        return age <= FRESH_PART * Math.max(service, trip) || s.load >= 1 && age <= BUSY_PART * s.load * service;
+        return age <= FRESH_PART * Math.max(service, trip)
+            || s.load >= 1 && age <= BUSY_PART * s.load * service;
     }
 
     private boolean mute(Server s) {
@@ -614,8 +615,8 @@
     }
 
     /**
-     * Whether too little time is left. With half of its aim left a request is always worth a try: a class that
-     * is refused on arrival yields no samples, and would be refused for ever after one bad spell.
+     * Whether too little time is left. With half of its aim left a request is always worth a try: a class
+     * that is refused on arrival yields no samples, and would be refused for ever after one bad spell.
      */
     private boolean doomed(Request q) {
         double needed = sounds ? DOOMED_PART * service : LATE_PART * usual[q.row];
@@ -767,7 +768,8 @@
         if (now < s.barredUntil) {
             return;
         }
-        s.barredUntil = now + FIRST_BAR * (1L << s.strikes) / 2 + random.nextLong(FIRST_BAR * (1L << s.strikes));
+        long bar = FIRST_BAR << s.strikes;
+        s.barredUntil = now + bar / 2 + random.nextLong(bar);
         s.strikes = Math.min(MOST_STRIKES, s.strikes + 1);
         s.room = firstRoom;
     }
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -6,8 +6,8 @@
 /**
  * The interface of the decision module {@link Decide}: what it is told, and what it may ask for.
  *
- * <p>All times are microseconds: instants on the clock of the events, spans as differences of it. Classes, tenants, zones
- * and kinds are indices into the settings' lists; -1 stands for none.
+ * <p>All times are microseconds: instants on the clock of the events, spans as differences of it. Classes,
+ * tenants, zones and kinds are indices into the settings' lists; -1 stands for none.
  */
 public final class DecisionApi {
 
@@ -45,8 +45,8 @@
 
     /** All that a node is told at its start. {@code repeatsMarked}: clients mark their repeats. */
     public record Settings(int node, int nodes, int zone, Discovery discovery, boolean reportsLoad,
-                           boolean repeatsMarked, double overShareWorth, Limits limits, Rules rules, Prices prices,
-                           List<RequestClass> classes, List<Tenant> tenants) { }
+                           boolean repeatsMarked, double overShareWorth, Limits limits, Rules rules,
+                           Prices prices, List<RequestClass> classes, List<Tenant> tenants) { }
 
     // ---- Events ---------------------------------------------------------------------------------
 
--- a/src/main/java/ottergauge/simhost/ConfigReader.java
+++ b/src/main/java/ottergauge/simhost/ConfigReader.java
@@ -32,7 +32,7 @@
         boolean reports = !"off".equals(root.child("reporting").text("how", "off"));
         return new Settings((int) root.number("me", 0), Math.max(1, (int) root.number("balancers", 1)),
             root.list("zones").indexOf(root.text("zone", "")),
-            "pushed".equals(root.text("registryMode", "on_request")) ? Discovery.PUSHED : Discovery.ON_REQUEST,
+            "pushed".equals(root.text("registryMode", "")) ? Discovery.PUSHED : Discovery.ON_REQUEST,
             reports && fields.contains("outstanding"), root.child("clients").flag("marksRetry"),
             root.number("overShareWorth", 1),
             new Limits(limits.flag("probes"), limits.flag("peerMessages"), limits.flag("cancel"),
@@ -59,8 +59,9 @@
             default -> Group.CELL;
         };
         long deadline = c.micros("hardLimitMs", 30_000);
-        return new RequestClass(c.text("name", ""), repeat, group, c.micros("aimMs", deadline / 1000.0), deadline,
-            c.micros("windowMs", 0), c.number("value", 1), c.number("lateWorth", 0), c.flag("streamed"));
+        return new RequestClass(c.text("name", ""), repeat, group, c.micros("aimMs", deadline / 1000.0),
+            deadline, c.micros("windowMs", 0), c.number("value", 1), c.number("lateWorth", 0),
+            c.flag("streamed"));
     }
 
     private static Tenant tenant(ConfigReader t) {
@@ -77,7 +78,8 @@
 
     @SuppressWarnings("unchecked")
     private ConfigReader child(String key) {
-        return new ConfigReader(config.get(key) instanceof Map<?, ?> map ? (Map<String, Object>) map : Map.of());
+        Object child = config.get(key);
+        return new ConfigReader(child instanceof Map<?, ?> map ? (Map<String, Object>) map : Map.of());
     }
 
     @SuppressWarnings("unchecked")
--- a/src/main/java/ottergauge/simhost/Instance.java
+++ b/src/main/java/ottergauge/simhost/Instance.java
@@ -57,8 +57,8 @@
             case "Query" -> new RequestArrived(id(m), requestClass(m), tenants.getOrDefault(m.tenant, -1),
                 micros(m.giveUpAtMs), (m.attributes & CLIENT_REPEAT) != 0);
             case "Headers" -> new AnswerStarted(id(m), m.attempt);
-            case "Verdict" -> new AttemptEnded(id(m), m.attempt, m.server, result(m), micros(m.elapsedMs), m.over,
-                m.report);
+            case "Verdict" -> new AttemptEnded(id(m), m.attempt, m.server, result(m), micros(m.elapsedMs),
+                m.over, m.report);
             case "Aborted" -> new ClientGone(id(m));
             case "Echo" -> new ProbeEnded(m.server, result(m), micros(m.elapsedMs), m.report);
             case "Due" -> new TimerFired(m.token);
--- a/src/test/java/ottergauge/History.java
+++ b/src/test/java/ottergauge/History.java
@@ -150,8 +150,8 @@
             Request q = next.attempt.request;
             boolean over = q.over || e.result() == Result.SERVED;
             q.over = over;
-            event = new AttemptEnded(e.id(), e.attempt(), e.server(), e.result(), node.now - next.attempt.sentAt,
-                over, e.report());
+            event = new AttemptEnded(e.id(), e.attempt(), e.server(), e.result(),
+                node.now - next.attempt.sentAt, over, e.report());
         } else if (event instanceof ClientGone e && requests.containsKey(e.id())) {
             requests.get(e.id()).over = true;
         } else if (event instanceof RequestArrived e) {
@@ -232,17 +232,20 @@
             if (q.type.repeat() == Repeat.KEYED) {
                 check(q.type.group() == Group.ALL || earlier.server % 2 == send.server() % 2,
                     send.id() + " was sent again outside its group");
-                check(node.now <= earlier.sentAt + q.type.window(), send.id() + " was sent again past its window");
+                check(node.now <= earlier.sentAt + q.type.window(),
+                    send.id() + " was sent again past its window");
             }
         }
         Long told = toldToStop.get(send.server());
-        check(told == null || node.now <= told + settings.rules().drainGrace(), "sent to a server that drains");
+        check(told == null || node.now <= told + settings.rules().drainGrace(),
+            "sent to a server that drains");
         cold(send);
         again += q.attempts.isEmpty() ? 0 : 1;
         sends++;
         Attempt attempt = new Attempt(q, q.attempts.size(), send.server(), node.now);
         q.attempts.add(attempt);
-        long limit = send.timeout() == 0 ? q.giveUpAt - node.now : Math.min(send.timeout(), q.giveUpAt - node.now);
+        long left = q.giveUpAt - node.now;
+        long limit = send.timeout() == 0 ? left : Math.min(send.timeout(), left);
         Result result = Result.SERVED;
         long wait = SERVICE / 2 + random.nextLong(SERVICE);
         switch (random.nextInt(40)) {
@@ -264,7 +267,7 @@
         return new AttemptEnded(id, attempt.number, attempt.server, result, 0, false, report());
     }
 
-    /** Rule 4, as a budget for this node: its part of what tips the server over, with one send always allowed. */
+    /** Rule 4, as a budget for this node: its part of what tips a server over; one send is always allowed. */
     private void cold(Send send) {
         long started = startedAt.getOrDefault(send.server(), 0L);
         long age = node.now - started;
--- a/src/test/java/ottergauge/Node.java
+++ b/src/test/java/ottergauge/Node.java
@@ -72,11 +72,13 @@
     }
 
     List<Action> arrive(String id, int requestClass, long giveUpAt, boolean repeat) {
-        return on(new RequestArrived(id, requestClass, settings.tenants().isEmpty() ? -1 : 0, giveUpAt, repeat));
+        int tenant = settings.tenants().isEmpty() ? -1 : 0;
+        return on(new RequestArrived(id, requestClass, tenant, giveUpAt, repeat));
     }
 
     List<Action> ended(String id, int attempt, long server, Result result, long elapsed) {
-        return on(new AttemptEnded(id, attempt, server, result, elapsed, result == Result.SERVED, LoadReport.NONE));
+        boolean over = result == Result.SERVED;
+        return on(new AttemptEnded(id, attempt, server, result, elapsed, over, LoadReport.NONE));
     }
 
     List<Action> probed(long server, double inFlight) {
--- a/src/test/java/ottergauge/cli/MainTest.java
+++ b/src/test/java/ottergauge/cli/MainTest.java
@@ -15,7 +15,8 @@
     private final StringWriter err = new StringWriter();
 
     private int execute(String... args) {
-        return new CommandLine(new Main()).setOut(new PrintWriter(out)).setErr(new PrintWriter(err)).execute(args);
+        return new CommandLine(new Main()).setOut(new PrintWriter(out)).setErr(new PrintWriter(err))
+            .execute(args);
     }
 
     @Test
--- a/src/test/java/ottergauge/simhost/SimHostTest.java
+++ b/src/test/java/ottergauge/simhost/SimHostTest.java
@@ -22,8 +22,9 @@
         + "\"classes\":[{\"name\":\"work\",\"aimMs\":400.0,\"hardLimitMs\":1000.0,\"semantics\":\"free\"}],"
         + "\"registryMode\":\"pushed\",\"zone\":\"a\",\"zones\":[\"a\"],\"kinds\":[\"k\"],\"me\":0,"
         + "\"rules\":{\"answerSlackMs\":5.0,\"coldMs\":1000.0,\"coldFrom\":0.5,\"fallMs\":1000.0}}";
-    private static final String LIST = "{\"msg\":\"Ledger\",\"rosterId\":3,\"entries\":[{\"server\":4294967295,"
-        + "\"dc\":\"a\",\"generationHw\":\"k\",\"cohort\":0,\"availability\":\"on\",\"nominal\":1,\"sinceMs\":null,"
+    private static final String LIST = "{\"msg\":\"Ledger\",\"rosterId\":3,\"entries\":["
+        + "{\"server\":4294967295,\"dc\":\"a\",\"generationHw\":\"k\",\"cohort\":0,"
+        + "\"availability\":\"on\",\"nominal\":1,\"sinceMs\":null,"
         + "\"new\":{}}]},{\"msg\":\"BackendsChanged\",\"mode\":\"C\",\"generation\":1,\"rosterId\":3}";
 
     private static String start(String seed) {
@@ -62,15 +63,17 @@
     @Test
     void aRequestIsPassedOn() throws IOException {
         List<String> replies = run(batch(10, part(7, start("1"), query("rq_a", 1010))));
-        assertTrue(replies.get(0).contains("{\"msg\":\"PassOn\",\"msgId\":\"rq_a\",\"server\":4294967295,\"limitMs\":"),
-            replies.get(0));
+        assertTrue(replies.get(0).contains("{\"msg\":\"PassOn\",\"msgId\":\"rq_a\",\"server\":4294967295,"
+            + "\"limitMs\":"), replies.get(0));
         assertTrue(replies.get(0).startsWith("{\"parts\":[{\"nodeId\":7,\"cmds\":["), replies.get(0));
     }
 
     @Test
     void theOrderOfKeysDoesNotMatterAndUnknownKeysAreSkipped() throws IOException {
-        String input = "{\"x\":[{}],\"parts\":[{\"inbox\":[" + start("5") + ",{\"attrs\":0,\"qos\":\"work\",\"y\":{\"z\":1},"
-            + "\"giveUpAtMs\":900.5,\"msgId\":\"rq_b\",\"msg\":\"Query\"}],\"nodeId\":0}],\"simTimeMs\":3.5}\n";
+        String input = "{\"x\":[{}],\"parts\":[{\"inbox\":[" + start("5")
+            + ",{\"attrs\":0,\"qos\":\"work\",\"y\":{\"z\":1},\"giveUpAtMs\":900.5,"
+            + "\"msgId\":\"rq_b\",\"msg\":\"Query\"}],"
+            + "\"nodeId\":0}],\"simTimeMs\":3.5}\n";
         assertTrue(run(input).get(0).contains("\"msg\":\"PassOn\",\"msgId\":\"rq_b\""));
     }
 
@@ -80,8 +83,8 @@
             + "{\"msg\":\"BackendsChanged\",\"mode\":\"F\",\"generation\":2,\"rosterId\":3}";
         List<String> replies = run(batch(10, part(0, start("1"), empty, query("rq_a", 1010)))
             + batch(2000, part(0, "{\"msg\":\"Due\",\"nonce\":\"tick\"}")));
-        assertTrue(replies.get(1).contains("{\"msg\":\"OverloadReply\",\"msgId\":\"rq_a\",\"retryAfterMs\":600.0}"),
-            replies.get(1));
+        assertTrue(replies.get(1).contains("{\"msg\":\"OverloadReply\",\"msgId\":\"rq_a\","
+            + "\"retryAfterMs\":600.0}"), replies.get(1));
     }
 
     @Test
@@ -99,10 +102,10 @@
 
     @Test
     void oddButLegalEventsAreTaken() throws IOException {
-        String verdict = "{\"msg\":\"Verdict\",\"msgId\":\"rq_x\",\"last\":true,\"shot\":0,\"code\":\"CXL\",\"server\":1,"
-            + "\"spentMs\":1.0,\"pressure\":null}";
-        List<String> replies = run(batch(1, part(0, start("1"), "{\"msg\":\"Aborted\",\"msgId\":\"rq_gone\"}", verdict,
-            "{\"msg\":\"BackendsChanged\",\"mode\":\"X\",\"generation\":1,\"rosterId\":0}",
+        String verdict = "{\"msg\":\"Verdict\",\"msgId\":\"rq_x\",\"last\":true,\"shot\":0,\"code\":\"CXL\","
+            + "\"server\":1,\"spentMs\":1.0,\"pressure\":null}";
+        List<String> replies = run(batch(1, part(0, start("1"), "{\"msg\":\"Aborted\",\"msgId\":\"rq_gone\"}",
+            verdict, "{\"msg\":\"BackendsChanged\",\"mode\":\"X\",\"generation\":1,\"rosterId\":0}",
             "{\"msg\":\"NoteFrom\",\"neighbour\":1,\"payload\":\"00\"}",
             "{\"msg\":\"Echo\",\"code\":\"LATE\",\"server\":9,\"spentMs\":1.0}")));
         assertFalse(replies.get(0).contains("Fault"), replies.get(0));
@@ -139,7 +142,8 @@
         assertMessage("list number 16 is out of range",
             batch(1, part(0, "{\"msg\":\"Ledger\",\"rosterId\":16,\"entries\":[]}")));
         assertMessage("unknown message Hello", batch(1, part(0, start("1"), "{\"msg\":\"Hello\"}")));
-        assertMessage("unknown class other", batch(1, part(0, start("1"), query("a", 9).replace("work", "other"))));
+        assertMessage("unknown class other",
+            batch(1, part(0, start("1"), query("a", 9).replace("work", "other"))));
         assertMessage("a batch has no simTimeMs", "{\"parts\":[]}\n");
     }
 
