A cold server's own answers tell its speed; redundant guards removed

Its own answers now count, and before the first it is hoped to do 1.5 times the least; the budget that keeps it from being pushed over stays as it was.

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -90,6 +90,8 @@
     private static final int MOST_STRIKES = 6;
     /** The part of the cold budget that is used: the guide is an estimate. */
     private static final double COLD_CAUTION = 0.6;
+    /** Before it has answered, a cold server is hoped to do this multiple of the least it can do by now. */
+    private static final double COLD_HOPE = 1.5;
     private static final long LOOK_EVERY = 25_000;
     private static final long FIRST_ASK_WITHIN = 200_000;
     private static final long ASK_AGAIN = 500_000;
@@ -341,9 +343,6 @@
     /** Gives the final answer: a refusal where the rule lets it say that a retry is harmless. */
     private void giveUp(Request q) {
         release(q);
-        if (q.over || q.started) {
-            return;
-        }
         q.over = true;
         if (mayRefuse(q)) {
             act(new Refuse(q.id, settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0));
@@ -397,9 +396,9 @@
             || q.type.repeat() == Repeat.KEYED && q.type.group() == Group.ALL;
     }
 
+    /** Whether the rules let this server have the request's next attempt; no other attempt of it is out. */
     private boolean maySend(Request q, Server s) {
-        if (q.over || q.started || q.attempts >= settings.limits().maxAttempts()
-            || !q.out.isEmpty() && !settings.limits().secondCopies()) {
+        if (q.attempts >= settings.limits().maxAttempts()) {
             return false;
         }
         if (q.type.repeat() == Repeat.SAFE || untouched(q)) {
@@ -408,7 +407,7 @@
         if (q.type.repeat() == Repeat.UNSAFE) {
             return false;
         }
-        Attempt first = q.firstThatMayHaveRun != null ? q.firstThatMayHaveRun : q.out.get(0);
+        Attempt first = q.firstThatMayHaveRun;
         return sameGroup(q.type.group(), first.server, s) && now < first.sentAt + q.type.window();
     }
 
@@ -546,7 +545,14 @@
      * few answers to follow when everything becomes slow, and work goes on being sent that will be late.
      */
     private double serviceOf(Server s) {
-        return service * (s.slowness > 0 ? s.slowness : 1) / warmth(s);
+        // Departure "cold server": its own answers tell its speed. Held to the least that it can do, it stood
+        // idle for most of its warm-up while a deploy left the others with too much.
+        double warmth = warmth(s);
+        if (warmth >= 1) {
+            return service * (s.slowness > 0 ? s.slowness : 1);
+        }
+        double hoped = 1 / Math.min(1, COLD_HOPE * warmth);
+        return service * (s.slowness > 0 ? Math.min(s.slowness, 1 / warmth) : hoped);
     }
 
     /** Whether the request can be expected to end at this server while its answer still has worth. */
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -33,15 +33,15 @@
     public record Tenant(String name, double portion, double quotaPerSecond) { }
 
     /** What the deployment permits. */
-    public record Limits(boolean probes, boolean peerMessages, boolean cancel, boolean secondCopies,
-                         boolean retryAfter, int maxAttempts, long maxRetryAfter, long connectTimeout) { }
+    public record Limits(boolean probes, boolean cancel, boolean retryAfter, int maxAttempts,
+                         long maxRetryAfter) { }
 
     /** The figures of the rules on answers, drains and cold servers. */
-    public record Rules(long answerSlack, long drainGrace, long mustAskWithin, double coldFrom, long coldFor,
+    public record Rules(long answerSlack, long drainGrace, double coldFrom, long coldFor,
                         double tipMultiple, long fallAfter) { }
 
-    /** What is taken off the result for each unit: a probe a request, an attempt that crosses zones. */
-    public record Prices(double probe, double crossZone) { }
+    /** What is taken off the result for each unit: a probe a request. */
+    public record Prices(double probe) { }
 
     /** All that a node is told at its start. {@code repeatsMarked}: clients mark their repeats. */
     public record Settings(int node, int nodes, int zone, Discovery discovery, boolean reportsLoad,
--- a/src/test/java/ottergauge/DeparturesTest.java
+++ b/src/test/java/ottergauge/DeparturesTest.java
@@ -313,6 +313,40 @@
         assertTrue(sent <= 1, "sent to the cold server: " + sent);
     }
 
+    @Test
+    void aColdServersOwnAnswersTellItsSpeed() {
+        int[] sent = new int[2];
+        for (int quick = 0; quick < 2; quick++) {
+            Node node = warm(probing(), 2, 60, 100 * MS);
+            node.now += 2_000 * MS;
+            node.change(1, ServerState.UP, node.now);
+            // By age alone the server can do a fifth to two fifths of a warm one's work.
+            node.now += 3_000 * MS;
+            for (int i = 0; i < 40; i++) {
+                sent[quick] += coldServe(node, "q" + i, quick == 1 ? 100 * MS : 450 * MS) == 1 ? 1 : 0;
+                node.now += 100 * MS;
+            }
+        }
+        assertTrue(sent[1] > sent[0], "slow when cold " + sent[0] + ", quick " + sent[1]);
+    }
+
+    /** Serves a request with the other server busy and little time left; returns the server, or 0. */
+    private static long coldServe(Node node, String id, long elapsed) {
+        List<Action> actions = node.arrive(id, 0, node.now + 1_500 * MS, true);
+        while (Node.those(Send.class, actions).isEmpty()) {
+            List<Probe> probes = Node.those(Probe.class, actions);
+            if (probes.isEmpty()) {
+                return 0;
+            }
+            actions = node.probed(probes.get(0).server(), probes.get(0).server() == 2 ? 3 : 0);
+        }
+        Send send = Node.only(Send.class, actions);
+        node.now += elapsed;
+        node.on(new AttemptEnded(id, 0, send.server(), Result.SERVED, elapsed, true,
+            new LoadReport(1, 0, 0.5, Double.NaN, Double.NaN)));
+        return send.server();
+    }
+
     // ---- The server list ----------------------------------------------------------------------------
 
     @Test
--- a/src/test/java/ottergauge/History.java
+++ b/src/test/java/ottergauge/History.java
@@ -222,8 +222,7 @@
         Request q = requests.get(send.id());
         check(!q.over, send.id() + " was sent after its end");
         check(q.attempts.size() < settings.limits().maxAttempts(), send.id() + " was sent too often");
-        check(settings.limits().secondCopies() || q.attempts.stream().noneMatch(a -> a.ended == null),
-            send.id() + " has two attempts out");
+        check(q.attempts.stream().noneMatch(a -> a.ended == null), send.id() + " has two attempts out");
         for (Attempt earlier : q.attempts) {
             if (!earlier.mayHaveRun()) {
                 continue;
--- a/src/test/java/ottergauge/HistoryTest.java
+++ b/src/test/java/ottergauge/HistoryTest.java
@@ -39,10 +39,9 @@
 
     @ParameterizedTest
     @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18})
-    void theRulesHoldWithProbesAndSecondCopies(long seed) {
+    void theRulesHoldWithProbesAndUnmarkedRepeats(long seed) {
         TestSettings settings = mixed();
         settings.probes = true;
-        settings.secondCopies = true;
         settings.repeatsMarked = false;
         settings.discovery = Discovery.ON_REQUEST;
         History history = new History(settings, seed);
--- a/src/test/java/ottergauge/TestSettings.java
+++ b/src/test/java/ottergauge/TestSettings.java
@@ -15,7 +15,6 @@
 /** Builds settings; the defaults are a site without probes, reports or tenants and with one safe class. */
 final class TestSettings {
     boolean probes;
-    boolean secondCopies;
     boolean repeatsMarked = true;
     int nodes = 1;
     int maxAttempts = 5;
@@ -33,8 +32,8 @@
 
     Settings build() {
         return new Settings(0, nodes, 0, discovery, probes, repeatsMarked, 0.1,
-            new Limits(probes, false, true, secondCopies, true, maxAttempts, 600_000, 250_000),
-            new Rules(5_000, 500_000, 10_000_000, 0.2, 10_000_000, 3, 1_000_000), new Prices(0.002, 0.005),
+            new Limits(probes, true, true, maxAttempts, 600_000),
+            new Rules(5_000, 500_000, 0.2, 10_000_000, 3, 1_000_000), new Prices(0.002),
             classes, tenants);
     }
 }
