--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -85,6 +85,11 @@
     private static final double IDLE_CORES = 0.8;
     /** What all nodes together start with at a server that none of them has had an answer from. */
     private static final double FIRST_ROOM = 2;
+    /**
+     * Departure "errors": errors in a row that bar a server. One that fails at once looks idle and quick, and
+     * would draw most sends; a single error is ordinary. A probe answered proves nothing here.
+     */
+    private static final int ERRORS_IN_A_ROW = 2;
     /** Bars double from the first to the last. */
     private static final long FIRST_BAR = 100_000;
     private static final int MOST_STRIKES = 6;
@@ -125,6 +130,7 @@
         long restsUntil = NEVER;
         long answeredAt = NEVER;
         int strikes;
+        int errors;
         long barredUntil = NEVER;
         boolean lost;
         // Warm-up.
@@ -535,9 +541,9 @@
     // ==== Room: what a server can take within the aim ================================================
 
     private boolean open(Server s) {
-        double most = s.strikes > 0 ? 1 : Math.max(1, s.room);
+        double most = sounds ? Double.MAX_VALUE : Math.max(1, s.room);
         return s.state == ServerState.UP && now >= s.barredUntil && !mute(s) && coldBudgetLeft(s)
-            && (sounds || now >= s.restsUntil && s.out.size() < most);
+            && now >= s.restsUntil && s.out.size() < (s.strikes > 0 ? 1 : most);
     }
 
     /**
@@ -711,6 +717,11 @@
                 strike(s);
             }
             case TIMED_OUT -> learn(s, a, e.elapsed());
+            case ERROR -> {
+                if (++s.errors >= ERRORS_IN_A_ROW && !manyBarred()) {
+                    strike(s);
+                }
+            }
             case REJECTED -> s.barredUntil = Math.max(s.barredUntil, now + (long) (service / 2));
             default -> { }
         }
@@ -719,6 +730,8 @@
     private void served(Server s, Attempt a, long elapsed) {
         sample(s, a.request.row, elapsed);
         answered(s);
+        s.strikes = 0;
+        s.errors = 0;
         learn(s, a, elapsed);
     }
 
@@ -762,7 +775,6 @@
 
     private void answered(Server s) {
         s.answeredAt = now;
-        s.strikes = 0;
         if (s.lost) {
             // A server that was unreachable and answers again has most likely restarted: it is cold.
             s.lost = false;
@@ -806,12 +818,8 @@
             return;
         }
         lookAt = now + LOOK_EVERY;
-        int barred = 0;
-        for (Server s : servers) {
-            barred += now < s.barredUntil ? 1 : 0;
-        }
         for (Server s : servers) {
-            if (s.out.isEmpty() || now < s.barredUntil || 2 * barred >= servers.size()) {
+            if (s.out.isEmpty() || now < s.barredUntil || manyBarred()) {
                 continue;
             }
             double due = 0;
@@ -821,13 +829,21 @@
                 due += Math.min(waits, SILENT_EACH);
             }
             if (due > SILENT_ANSWERS) {
-                barred++;
                 strike(s);
                 moveAway(s);
             }
         }
     }
 
+    /** What half of the fleet shows is no single server's trouble, and the rest could not carry the load. */
+    private boolean manyBarred() {
+        int barred = 0;
+        for (Server s : servers) {
+            barred += now < s.barredUntil ? 1 : 0;
+        }
+        return 2 * barred >= servers.size();
+    }
+
     /** Departure "silence": what is out at a silent server is tried elsewhere, where a repeat is allowed. */
     private void moveAway(Server s) {
         for (Attempt a : new ArrayList<>(s.out)) {
--- a/src/test/java/ottergauge/DeparturesTest.java
+++ b/src/test/java/ottergauge/DeparturesTest.java
@@ -225,6 +225,35 @@
         }
     }
 
+    @Test
+    void aServerThatOnlyAnswersErrorsDrawsFewSends() {
+        for (boolean probes : new boolean[] {false, true}) {
+            TestSettings settings = new TestSettings();
+            settings.probes = probes;
+            Node node = warm(settings, 4, 40, 50 * MS);
+            int onFailing = 0;
+            for (int i = 0; i < 400; i++) {
+                List<Action> actions = node.arrive("e" + i);
+                for (int attempt = 0; !actions.isEmpty(); ) {
+                    List<Send> sends = Node.those(Send.class, actions);
+                    if (sends.isEmpty()) {
+                        List<Probe> asked = Node.those(Probe.class, actions);
+                        actions = asked.isEmpty() ? List.of() : node.probed(asked.get(0).server(), 0);
+                    } else if (sends.get(0).server() == 1) {
+                        onFailing++;
+                        node.now += 2 * MS;
+                        actions = node.ended("e" + i, attempt++, 1, Result.ERROR, 2 * MS);
+                    } else {
+                        node.now += 50 * MS;
+                        node.ended("e" + i, attempt, sends.get(0).server(), Result.SERVED, 50 * MS);
+                        actions = List.of();
+                    }
+                }
+            }
+            assertTrue(onFailing >= 2 && onFailing <= 16, "sent to the failing server: " + onFailing);
+        }
+    }
+
     // ---- Reported loads -----------------------------------------------------------------------------
 
     @Test
