--- a/src/test/java/ottergauge/DeparturesTest.java
+++ b/src/test/java/ottergauge/DeparturesTest.java
@@ -13,6 +13,7 @@
 import ottergauge.DecisionApi.Action;
 import ottergauge.DecisionApi.AttemptEnded;
 import ottergauge.DecisionApi.Cancel;
+import ottergauge.DecisionApi.ClientGone;
 import ottergauge.DecisionApi.Discovery;
 import ottergauge.DecisionApi.Fail;
 import ottergauge.DecisionApi.Group;
@@ -24,6 +25,7 @@
 import ottergauge.DecisionApi.Repeat;
 import ottergauge.DecisionApi.Result;
 import ottergauge.DecisionApi.Send;
+import ottergauge.DecisionApi.SetTimer;
 import ottergauge.DecisionApi.ServerState;
 import ottergauge.DecisionApi.Subscribe;
 import ottergauge.DecisionApi.Tenant;
@@ -376,6 +378,40 @@
         return send.server();
     }
 
+    @Test
+    void nothingIsSentAfterTheClientHasGone() {
+        Node node = warm(new TestSettings(), 3, 10, 50 * MS);
+        Send send = Node.only(Send.class, node.arrive("a"));
+        node.on(new ClientGone("a"));
+        List<Action> later = node.ended("a", 0, send.server(), Result.RESET, 50 * MS);
+        assertEquals(0, Node.those(Send.class, later).size() + Node.those(Refuse.class, later).size());
+    }
+
+    @Test
+    void noMoreAttemptsAreMadeThanTheSiteAllows() {
+        TestSettings settings = new TestSettings();
+        settings.maxAttempts = 2;
+        Node node = warm(settings, 4, 10, 50 * MS);
+        Send first = Node.only(Send.class, node.arrive("a"));
+        Send second = Node.only(Send.class, node.ended("a", 0, first.server(), Result.REJECTED, MS));
+        List<Action> last = node.ended("a", 1, second.server(), Result.REJECTED, MS);
+        assertEquals(1, Node.those(Refuse.class, last).size());
+    }
+
+    @Test
+    void theTimerIsSetForTheEndOfAHeldRequest() {
+        Node node = new Node(new TestSettings().build());
+        node.servers(0);
+        node.now += 7 * MS;
+        long giveUpAt = node.now + 613 * MS;
+        List<Action> actions = node.arrive("a", 0, giveUpAt, false);
+        while (Node.those(Refuse.class, actions).isEmpty()) {
+            List<SetTimer> timers = Node.those(SetTimer.class, node.all);
+            actions = node.after(timers.get(timers.size() - 1).delay());
+        }
+        assertTrue(node.now <= giveUpAt + 5 * MS, "answered " + (node.now - giveUpAt) + " after the end");
+    }
+
     // ---- The server list ----------------------------------------------------------------------------
 
     @Test
--- a/src/test/java/ottergauge/RotationTest.java
+++ b/src/test/java/ottergauge/RotationTest.java
@@ -77,10 +77,11 @@
     @Test
     void aWeightIsAtLeastOne() {
         node.servers(2);
-        shares(node, 10, MS, 900 * MS);
+        shares(node, 10, 50, 100 * MS);
         node.after(5_000 * MS);
-        Map<Long, Integer> shares = shares(node, 2500, 200, 500 * MS / 2);
-        assertTrue(shares.get(2L) >= 1, "the slow server still takes turns: " + shares);
+        // One to 2000: the floor of the slow server's share is nought, its weight one of 1000.
+        Map<Long, Integer> shares = shares(node, 6000, 50, 100 * MS);
+        assertTrue(shares.get(2L) >= 3, "the slow server still takes turns: " + shares);
     }
 
     @Test
