Refuse on arrival what the backlog's pace cannot reach in time

By Little's law the requests ahead, at the pace of sends, tell that on arrival; acts only where loads are not known.

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -197,6 +197,8 @@
     private final double[] usual;
     private long sent;
     private double sendRate;
+    private double pace;
+    private long sentAt;
     private double service;
     private double trip = FIRST_TRIP;
     private long requestNumber;
@@ -287,7 +289,20 @@
         double rank = worth;
         Request q = new Request(e.id(), requestNumber++, type, row, usefulUntil, rank);
         requests.put(q.id, q);
-        hold(q);
+        if (hopeless(q)) {
+            giveUp(q);
+        } else {
+            hold(q);
+        }
+    }
+
+    /**
+     * Departure "prompt refusal": by Little's law the requests ahead, at the pace of the sends from a
+     * backlog, take longer than this one can wait. Held all the same, it would wait long to be refused.
+     */
+    private boolean hopeless(Request q) {
+        return !sounds && pace > 0 && !held.isEmpty()
+            && held.headSet(q).size() * pace > q.usefulUntil - needed(q) - now;
     }
 
     /**
@@ -626,13 +641,17 @@
         }
     }
 
+    private boolean doomed(Request q) {
+        return now + needed(q) >= q.usefulUntil;
+    }
+
     /**
-     * Whether too little time is left. With half of its aim left a request is always worth a try: a class
+     * The time that a request must have left. With half of its aim left it is always worth a try: a class
      * that is refused on arrival yields no samples, and would be refused for ever after one bad spell.
      */
-    private boolean doomed(Request q) {
-        double needed = sounds ? DOOMED_PART * service : LATE_PART * usual[q.row];
-        return now + Math.min(needed, q.type.aim() / 2.0) >= q.usefulUntil;
+    private double needed(Request q) {
+        double usually = sounds ? DOOMED_PART * service : LATE_PART * usual[q.row];
+        return Math.min(usually, q.type.aim() / 2.0);
     }
 
     private void probe(Server s) {
@@ -651,6 +670,10 @@
         s.out.add(a);
         s.load += 1;
         sent++;
+        if (!held.isEmpty()) {
+            pace = blend(pace, now - sentAt);
+        }
+        sentAt = now;
         if (warmth(s) < 1) {
             s.coldSends.add(now);
         }
