--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -12,8 +12,7 @@
 
 /**
  * Every decision of a node and nothing else. Its interface (settings, events, actions) is DecisionApi.java.
- *
- * <p>A deterministic state machine: an instant and an event go in, actions come out. The ordinary path is
+ * A deterministic state machine: an instant and an event go in, actions come out. The ordinary path is
  * Per-Function Auto Weighted Round-Robin; docs/design.md lists the departures and says when each acts.
  */
 public final class Decide {
@@ -25,6 +24,8 @@
     private static final int MOST_ROWS = 64;
     // A server's own mean outlives this many windows without a sample; then the others' stands in.
     private static final int WINDOWS_KEPT = 2;
+    // A row's answers for each server from which on its means say more than the shared row's.
+    private static final int ROW_ANSWERS = 3;
     // A server is skipped when its own in-flight count is over this multiple of the mean, plus one.
     private static final double SKIP_MULTIPLE = 2;
 
@@ -63,13 +64,14 @@
     private static final double ROOM_SHARE = 0.25;
     // One answer speaks of one server, and changes the room at all of them by so much less.
     private static final double POOL_GAIN = 0.4;
+    // The mean of many answers tells crowding sooner than single ones: some are long without any.
+    private static final double POOL_MARK = 0.5;
     // A server that reports less than this part of its cores busy is not crowded.
     private static final double IDLE_CORES = 0.8;
     private static final double FULL_CORES = 0.95;
     // What all nodes together start with at a server that none of them has had an answer from.
     private static final double FIRST_ROOM = 2;
-    // Departure "errors": errors in a row that bar a server. One that fails at once looks idle and quick, and
-    // would draw most sends; a single error is ordinary. A probe answered proves nothing here.
+    // Departure "errors": so many in a row bar a server. One that fails at once looks idle and draws sends.
     private static final int ERRORS_IN_A_ROW = 2;
     // Bars double from the first to the last.
     private static final long FIRST_BAR = 100_000;
@@ -82,15 +84,16 @@
     private static final long TELL_EVERY = 250_000;
     private static final int TOLD_PEERS = 4;
     private static final byte TOLD_VERSION = 1;
-    private static final double TOLD_SCALE = 50;
+    private static final double TOLD_SCALE = 25;
+    // While the others leave room unused, a node may have this multiple of its own part out.
+    private static final double SPARE_ROOM = 2;
     private static final long LOOK_EVERY = 25_000;
     private static final long FIRST_ASK_WITHIN = 200_000;
     private static final long ASK_AGAIN = 500_000;
     private static final int MOST_ASK_DOUBLINGS = 3;
-    // Keeps the draws of nodes and servers apart: an odd number far from both.
+    // Keeps the draws of nodes and servers apart.
     private static final long ORDER_STEP = 0x9E3779B97F4A7C15L;
     private static final long NEVER = Long.MIN_VALUE / 4;
-    private static final String TICK = "tick";
 
     // What may be out at once: at one server or, where a node's part of one is under one, at all.
     private static final class Room {
@@ -112,6 +115,7 @@
         double[] sum;
         int[] count;
         double[] mean;
+        int[] answers;
         int[] idle;
         int[] weight;
         double[] current;
@@ -149,6 +153,7 @@
             sum = new double[rows];
             count = new int[rows];
             mean = new double[rows];
+            answers = new int[rows];
             idle = new int[rows];
             weight = new int[rows];
             current = new double[rows];
@@ -203,10 +208,13 @@
     private final Map<Long, Server> byId = new HashMap<>();
     private final ArrayList<Server> servers = new ArrayList<>();
     private final ArrayList<Server> subset = new ArrayList<>();
-    private long subsetUntil = NEVER;
     private final ArrayList<Attempt> out = new ArrayList<>();
-    private double busy;
+    private double outTime;
+    private double outTimeBefore;
     private double meanOut;
+    private double outTimeTold;
+    private long toldAt = NEVER;
+    private double peersOut;
     private boolean pooled;
     private double untoldSum;
     private int untold;
@@ -251,17 +259,17 @@
     public void handle(long at, Event event, ActionSink out) {
         if (windowEnd == NEVER) {
             windowEnd = at + WINDOW;
+            now = at;
             if (settings.discovery() == Discovery.ON_REQUEST) {
                 askAt = at + random.nextLong(FIRST_ASK_WITHIN);
             }
         }
+        outTime += this.out.size() * (double) (at - now);
         now = at;
         sink = out;
         timerAt = now >= timerAt ? Long.MAX_VALUE : timerAt;
         if (now >= windowEnd) {
             endWindow();
-        } else if (now >= subsetUntil) {
-            chooseSubset();
         }
         if (event instanceof RequestArrived e) {
             arrive(e);
@@ -329,8 +337,7 @@
         return left < longestTry[e.requestClass()] - settings.rules().answerSlack();
     }
 
-    // A tenant's requests past its share of the quota are worth little: they are served after the others. Up
-    // to a second's may come at once, or two requests where a node's part of the quota is less than that.
+    // A tenant's requests past its share are worth little. Up to a second's, or two, may come at once.
     private boolean withinShare(int tenant) {
         if (tenant < 0) {
             return true;
@@ -447,8 +454,8 @@
     private void endWindow() {
         sendRate = sent / (double) WINDOW / Math.max(1, Math.min(servers.size(), subsetSize()));
         sent = 0;
-        meanOut = busy / WINDOW;
-        busy = 0;
+        meanOut = (outTime - outTimeBefore) / WINDOW;
+        outTimeBefore = outTime;
         while (now >= windowEnd) {
             windowEnd += WINDOW;
         }
@@ -456,9 +463,11 @@
             for (int row = 0; s.sum != null && row <= sharedRow; row++) {
                 if (s.count[row] > 0) {
                     s.mean[row] = s.sum[row] / s.count[row];
+                    s.answers[row] = s.count[row];
                     s.idle[row] = 0;
                 } else if (++s.idle[row] >= WINDOWS_KEPT) {
                     s.mean[row] = 0;
+                    s.answers[row] = 0;
                 }
                 s.sum[row] = 0;
                 s.count[row] = 0;
@@ -468,8 +477,7 @@
     }
 
     // Departure "subset": a node rotates over the first servers of an order of its own. All nodes together
-    // opened more connections than the servers take; a node that sends to one server in half a minute learns
-    // nothing about it; and walking a thousand servers for each event costs more than a node's share of CPU.
+    // opened more connections than servers take, learnt nothing of each, and spent their CPU on walking them.
     private void chooseSubset() {
         pooled = settings.nodes() > servers.size();
         if (pooled && sharedRoom.size == 0) {
@@ -477,12 +485,9 @@
         }
         int size = subsetSize();
         subset.clear();
-        subsetUntil = Long.MAX_VALUE;
         for (Server s : servers) {
             boolean barred = now < s.barredUntil && servers.size() > size;
-            if (barred) {
-                subsetUntil = Math.min(subsetUntil, s.barredUntil);
-            } else if (s.state == ServerState.UP) {
+            if (!barred && s.state == ServerState.UP) {
                 if (s.sum == null) {
                     s.join(sharedRow + 1, random);
                 }
@@ -513,13 +518,16 @@
     private void weigh(int row) {
         double known = 0;
         int samples = 0;
+        int answers = 0;
         for (Server s : subset) {
             if (s.mean[row] > 0) {
                 known += s.mean[row];
                 samples++;
+                answers += s.answers[row];
             }
         }
-        rowLive[row] = samples > 0;
+        // A row of a few answers is chance: until it has some of each server, the shared one is borrowed.
+        rowLive[row] = answers >= ROW_ANSWERS * subset.size();
         double others = samples > 0 ? known / samples : 1;
         double largest = others;
         for (Server s : subset) {
@@ -544,9 +552,6 @@
 
     // The next server of the rotation for a request, or null if none has room. The turn is not taken yet.
     private Server next(Request q) {
-        if (!sounds && out.size() >= Math.max(1, pooled ? sharedRoom.size : room())) {
-            return null;
-        }
         double mean = out.size() / (double) Math.max(1, subset.size());
         double least = Double.MAX_VALUE;
         boolean other = false;
@@ -594,7 +599,9 @@
 
     private boolean open(Server s) {
         Room room = roomOf(s);
-        boolean hasRoom = sounds || outIn(s) < Math.max(1, room.size) && now >= room.restsUntil;
+        boolean spare = pooled && peersOut > 0 && peersOut < room.size;
+        double most = Math.max(1, spare ? SPARE_ROOM * room.size : room.size);
+        boolean hasRoom = sounds || outIn(s) < most && (spare || now >= room.restsUntil);
         return s.state == ServerState.UP && now >= s.barredUntil && !mute(s) && hasRoom
             && (s.strikes == 0 || s.out.isEmpty()) && coldBudgetLeft(s);
     }
@@ -603,10 +610,6 @@
         return pooled ? sharedRoom : s.room;
     }
 
-    private double room() {
-        return subset.stream().mapToDouble(s -> s.room.size).sum();
-    }
-
     private int outIn(Server s) {
         return pooled ? out.size() : s.out.size();
     }
@@ -681,7 +684,11 @@
                 q.sounding = s;
                 q.probeAt = now + (q.usefulUntil - now) / Math.max(1, mostProbes - q.probes);
                 q.probes++;
-                probe(s);
+                if (!s.probing) {
+                    s.probing = true;
+                    s.probedAt = now;
+                    sink.accept(new Probe(s.id));
+                }
             }
         }
     }
@@ -697,8 +704,8 @@
         return now + needed(q) >= q.usefulUntil;
     }
 
-    // The time that a request must have left. With half of its aim left it is always worth a try: a class
-    // that is refused on arrival yields no samples, and would be refused for ever after one bad spell.
+    // The time that must be left. With half of its aim left a request is always worth a try: a class refused
+    // on arrival yields no samples, and would be refused for ever after one bad spell.
     private double needed(Request q) {
         double usually = sounds ? DOOMED_PART * service : LATE_PART * usual[q.row];
         return Math.min(usually, q.type.aim() / 2.0);
@@ -710,14 +717,6 @@
         return q.probes < mostProbes / 2 || q.probes < mostProbes && now >= q.probeAt;
     }
 
-    private void probe(Server s) {
-        if (!s.probing) {
-            s.probing = true;
-            s.probedAt = now;
-            sink.accept(new Probe(s.id));
-        }
-    }
-
     private void send(Request q, Server s) {
         takeTurn(s, liveRow(q));
         release(q);
@@ -743,10 +742,8 @@
 
     private void attemptEnded(AttemptEnded e) {
         Request q = requests.get(e.id());
-        if (q == null) {
-            return;
-        }
-        Attempt a = q.out.stream().filter(each -> each.number == e.attempt()).findFirst().orElse(null);
+        Attempt a = q == null ? null
+            : q.out.stream().filter(each -> each.number == e.attempt()).findFirst().orElse(null);
         if (a == null) {
             return;
         }
@@ -754,7 +751,6 @@
         q.out.remove(a);
         s.out.remove(a);
         out.remove(a);
-        busy += e.elapsed();
         s.load = Math.max(0, s.load - 1);
         report(s, e.report(), e.result() == Result.SERVED ? 1 : 0);
         judge(s, a, e);
@@ -842,18 +838,15 @@
         Room room = roomOf(s);
         // The room at all servers follows the mean answer: a single long one speaks of its request alone.
         room.crowding = pooled ? crowding(part) : part / ROOM_SHARE;
-        if (room.crowding > 1 && !idle) {
+        double crowdedFrom = pooled ? POOL_MARK : 1;
+        if (room.crowding > crowdedFrom && !idle) {
             room.found = true;
-            double cut = Math.min(1, room.crowding - 1) / 2;
+            double cut = Math.min(1, room.crowding - crowdedFrom) / 2;
             room.size -= pooled ? cut * POOL_GAIN * room.size : cut;
             room.size = Math.max(FIRST_ROOM / 4 / sharers(), room.size);
-        } else if (outIn(s) + (pooled ? 1 : 2) > room.size) {
+        } else if ((peersOut > 0 ? peersOut / FULL_CORES : outIn(s) + (pooled ? 1 : 2)) > room.size) {
             double step = (pooled ? POOL_GAIN * room.size : 1) / Math.max(1, room.size * sharers());
-            room.size += room.found ? step : 1 / sharers();
-            if (pooled && meanOut > 0) {
-                // More than what is usually out and its root is chance: taken up in a burst, it jams servers.
-                room.size = Math.min(room.size, meanOut + Math.sqrt(meanOut));
-            }
+            room.size += room.found ? step : pooled ? 0.25 : 1 / sharers();
         }
     }
 
@@ -867,25 +860,33 @@
     // Departure "peers": nodes that share a room tell a few others, drawn anew each time, how crowded their
     // own answers were. One node alone sees a burst too late, after seconds, and takes chance for crowding.
     private void tellPeers() {
-        if (!settings.limits().peers() || untold == 0 || now < tellAt || settings.nodes() < 2) {
+        if (!settings.limits().peers() || sounds || !pooled || now < tellAt || now <= toldAt) {
             return;
         }
-        byte crowding = (byte) Math.round(untoldSum / untold * TOLD_SCALE);
-        byte[] message = {TOLD_VERSION, crowding};
+        double mean = toldAt == NEVER ? out.size() : (outTime - outTimeTold) / (now - toldAt);
+        double crowding = untold == 0 ? sharedRoom.crowding : untoldSum / untold;
+        byte[] message = {TOLD_VERSION, told(crowding), told(mean)};
         for (int i = 0; i < TOLD_PEERS; i++) {
             int peer = (settings.node() + 1 + random.nextInt(settings.nodes() - 1)) % settings.nodes();
             sink.accept(new Tell(peer, message));
         }
         untoldSum = 0;
         untold = 0;
+        outTimeTold = outTime;
+        toldAt = now;
         tellAt = now + TELL_EVERY / 2 + random.nextLong(TELL_EVERY);
     }
 
+    private static byte told(double figure) {
+        return (byte) Math.min(Byte.MAX_VALUE, Math.round(figure * TOLD_SCALE));
+    }
+
     // What cannot be read, or was sent by a node of another build, is passed over.
     private void peerTold(PeerTold e) {
         byte[] m = e.message();
-        if (m.length == 2 && m[0] == TOLD_VERSION && m[1] >= 0 && m[1] <= 2 * TOLD_SCALE) {
+        if (m.length == 3 && m[0] == TOLD_VERSION && m[1] >= 0 && m[1] <= 2 * TOLD_SCALE && m[2] >= 0) {
             sharedRoom.crowding = blend(sharedRoom.crowding, m[1] / TOLD_SCALE);
+            peersOut += BLEND * (m[2] / TOLD_SCALE - peersOut);
         }
     }
 
@@ -1005,8 +1006,7 @@
             s.coldDraw = -Math.log(1 - random.nextDouble());
         }
         long waited = now - s.coldDrawnAt;
-        double spans = waited / (double) settings.rules().fallAfter();
-        return spans * coldBudget(warmth(s, now - waited / 2)) >= s.coldDraw;
+        return waited * coldBudget(warmth(s, now - waited / 2)) >= s.coldDraw * settings.rules().fallAfter();
     }
 
     // This node's part of what a cold server may be sent before it falls over: of what a server does alone
@@ -1082,7 +1082,7 @@
         at = Math.max(at, now + 1);
         if (at < timerAt) {
             timerAt = at;
-            sink.accept(new SetTimer(at - now, TICK));
+            sink.accept(new SetTimer(at - now, "tick"));
         }
     }
 }
--- /dev/null
+++ b/src/test/java/ottergauge/ScaleTest.java
@@ -0,0 +1,247 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import ottergauge.DecisionApi.Action;
+import ottergauge.DecisionApi.LoadReport;
+import ottergauge.DecisionApi.AttemptEnded;
+import ottergauge.DecisionApi.PeerTold;
+import ottergauge.DecisionApi.Probe;
+import ottergauge.DecisionApi.Result;
+import ottergauge.DecisionApi.Send;
+import ottergauge.DecisionApi.ServerState;
+import ottergauge.DecisionApi.Tell;
+
+/** What many nodes do in the sum: each sees next to nothing, and all act at once. */
+class ScaleTest {
+    private static final long MS = Node.MS;
+    private static final int NODES = 300;
+    private static final int SERVERS = 50;
+
+    private static List<Node> fleet(TestSettings settings) {
+        List<Node> nodes = new ArrayList<>();
+        settings.nodes = NODES;
+        for (int i = 0; i < NODES; i++) {
+            settings.node = i;
+            Node node = new Node(settings.build(), 1000 + i);
+            node.servers(SERVERS);
+            nodes.add(node);
+        }
+        return nodes;
+    }
+
+    private static TestSettings pricedConnections() {
+        TestSettings settings = new TestSettings();
+        settings.connectionPrice = 0.03;
+        return settings;
+    }
+
+    /** Sends a request, waiting for the node's own pauses, lets it be served, and returns its server. */
+    private static long serve(Node node, String id, long elapsed) {
+        Send send = sendOf(node, node.arrive(id));
+        answer(node, id, send.server(), elapsed);
+        return send.server();
+    }
+
+    private static Send sendOf(Node node, List<Action> actions) {
+        for (int i = 0; i < 40 && Node.those(Send.class, actions).isEmpty(); i++) {
+            actions = node.after(25 * MS);
+        }
+        return Node.only(Send.class, actions);
+    }
+
+    /** The server that the node's next request ends up at; probed servers answer that they are idle. */
+    private static long sentTo(Node node, String id) {
+        List<Action> actions = node.arrive(id);
+        while (Node.those(Send.class, actions).isEmpty()) {
+            actions = node.probed(Node.only(Probe.class, actions).server(), 0);
+        }
+        return Node.only(Send.class, actions).server();
+    }
+
+    private static void answer(Node node, String id, long server, long elapsed) {
+        node.now += elapsed;
+        node.on(new AttemptEnded(id, 0, server, Result.SERVED, elapsed, true, LoadReport.NONE));
+    }
+
+    // ---- The subset ---------------------------------------------------------------------------------
+
+    @Test
+    void whereConnectionsCostEachNodeUsesFewServersAndAllNodesUseAll() {
+        Map<Long, Integer> users = new HashMap<>();
+        for (Node node : fleet(pricedConnections())) {
+            Set<Long> used = new HashSet<>();
+            for (int i = 0; i < 20; i++) {
+                used.add(serve(node, "a" + i, 50 * MS));
+            }
+            assertTrue(used.size() >= 2 && used.size() <= 6, "servers of one node: " + used.size());
+            used.forEach(s -> users.merge(s, 1, Integer::sum));
+        }
+        assertEquals(SERVERS, users.size(), "servers in use");
+        int most = users.values().stream().max(Integer::compare).orElseThrow();
+        assertTrue(most <= 2 * NODES * 4 / SERVERS, "nodes at one server: " + most);
+    }
+
+    @Test
+    void aBarredServersPlaceIsTakenByTheNextOne() {
+        TestSettings settings = pricedConnections();
+        settings.nodes = NODES;
+        Node node = new Node(settings.build());
+        node.servers(SERVERS);
+        Set<Long> before = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            before.add(serve(node, "a" + i, 50 * MS));
+        }
+        Set<Long> after = new HashSet<>();
+        for (int i = 0; i < 60; i++) {
+            Send send = sendOf(node, node.arrive("b" + i));
+            boolean down = before.contains(send.server());
+            node.now += 5 * MS;
+            if (down) {
+                List<Action> next = node.ended("b" + i, 0, send.server(), Result.CONNECT_FAILED, 5 * MS);
+                Node.those(Send.class, next).forEach(s -> {
+                    after.add(s.server());
+                    node.now += 50 * MS;
+                    node.ended(s.id(), 1, s.server(), Result.SERVED, 50 * MS);
+                });
+            } else {
+                after.add(send.server());
+                node.ended("b" + i, 0, send.server(), Result.SERVED, 5 * MS);
+            }
+        }
+        after.removeAll(before);
+        assertTrue(after.size() >= 3, "servers that took the place: " + after);
+    }
+
+    @Test
+    void firstTurnsOfManyNodesSpreadOverTheServers() {
+        Map<Long, Integer> first = new HashMap<>();
+        TestSettings settings = new TestSettings();
+        settings.probes = true;
+        for (Node node : fleet(settings)) {
+            first.merge(sentTo(node, "a"), 1, Integer::sum);
+        }
+        int most = first.values().stream().max(Integer::compare).orElseThrow();
+        // Six a server at the mean; by chance alone one of fifty has about fourteen.
+        assertTrue(first.size() > SERVERS * 9 / 10 && most <= 18, first.size() + " servers, most " + most);
+    }
+
+    // ---- Cold servers -------------------------------------------------------------------------------
+
+    @Test
+    void aColdServerGetsItsBudgetFromAllNodesInTheSum() {
+        TestSettings settings = new TestSettings();
+        settings.probes = true;
+        List<Node> nodes = fleet(settings);
+        int cold = 0;
+        long start = nodes.get(0).now;
+        for (Node node : nodes) {
+            answer(node, "warm", sentTo(node, "warm"), 100 * MS);
+            node.change(1, ServerState.UP, node.now);
+        }
+        for (int round = 0; round < 10; round++) {
+            for (Node node : nodes) {
+                node.now = start + 100 * MS + (round + 1) * 100 * MS;
+                String id = "r" + round;
+                long server = sentTo(node, id);
+                cold += server == 1 ? 1 : 0;
+                answer(node, id, server, 50 * MS);
+            }
+        }
+        // The rule's budget in this first second: 3 times 0.2 to 0.28 of ten requests a second.
+        assertTrue(cold >= 1 && cold <= 9, "sent to the cold server: " + cold);
+    }
+
+    // ---- Probes -------------------------------------------------------------------------------------
+
+    @Test
+    void aRequestSoundsABoundedPartOfABusyFleet() {
+        TestSettings settings = new TestSettings();
+        settings.probes = true;
+        settings.nodes = NODES;
+        Node node = new Node(settings.build());
+        node.servers(SERVERS);
+        answer(node, "first", sentTo(node, "first"), 500 * MS);
+        node.after(1_000 * MS);
+        int before = Node.those(Probe.class, node.all).size();
+        List<Action> actions = node.arrive("held");
+        long end = node.now + 1_000 * MS;
+        while (node.now < end) {
+            for (Probe probe : Node.those(Probe.class, actions)) {
+                node.now += MS;
+                actions = node.probed(probe.server(), 4);
+            }
+            actions = Node.those(Probe.class, actions).isEmpty() ? node.after(5 * MS) : actions;
+        }
+        int probes = Node.those(Probe.class, node.all).size() - before;
+        assertTrue(probes >= 3 && probes <= 15, "probes of one request: " + probes);
+    }
+
+    // ---- Peers --------------------------------------------------------------------------------------
+
+    /** What goes out at once when ten requests come, after the peers told the same again and again. */
+    private static int burstAfter(byte... message) {
+        TestSettings settings = pricedConnections();
+        settings.peers = true;
+        settings.nodes = NODES;
+        Node node = new Node(settings.build());
+        node.servers(SERVERS);
+        for (int i = 0; i < 100; i++) {
+            serve(node, "a" + i, 20 * MS);
+            for (int k = 0; k < 10; k++) {
+                node.on(new PeerTold(7, message));
+            }
+        }
+        node.after(10_000 * MS);
+        int sent = 0;
+        for (int i = 0; i < 10; i++) {
+            sent += Node.those(Send.class, node.arrive("burst" + i)).size();
+        }
+        return sent;
+    }
+
+    @Test
+    void whatPeersTellBoundsWhatIsOut() {
+        int taken = burstAfter((byte) 1, (byte) 5, (byte) 100);
+        int crowded = burstAfter((byte) 1, (byte) 50, (byte) 100);
+        assertTrue(crowded < taken, "room is taken: " + taken + ", and servers crowded: " + crowded);
+    }
+
+    @Test
+    void messagesThatCannotBeReadChangeNothing() {
+        int alone = burstAfter();
+        assertEquals(alone, burstAfter((byte) 1, (byte) 50), "cut off");
+        assertEquals(alone, burstAfter((byte) 2, (byte) 50, (byte) 100), "another version");
+        assertEquals(alone, burstAfter((byte) 1, (byte) -1, (byte) 100), "out of range");
+        assertEquals(alone, burstAfter((byte) 1, (byte) 50, (byte) 100, (byte) 1), "too long");
+    }
+
+    @Test
+    void whatIsToldDoesNotGrowWithTheFleet() {
+        int[] told = new int[2];
+        for (int i = 0; i < 2; i++) {
+            TestSettings settings = pricedConnections();
+            settings.peers = true;
+            settings.nodes = i == 0 ? 100 : 1000;
+            Node node = new Node(settings.build());
+            node.servers(SERVERS);
+            for (int k = 0; k < 100; k++) {
+                serve(node, "a" + k, 50 * MS);
+            }
+            for (Tell tell : Node.those(Tell.class, node.all)) {
+                assertTrue(tell.peer() > 0 && tell.peer() < settings.nodes, "told " + tell.peer());
+                told[i]++;
+            }
+        }
+        assertTrue(told[0] > 0 && told[1] <= told[0] * 2 && told[1] <= 5 * 8 * 4, told[0] + ", " + told[1]);
+    }
+}
