Subset by a ring with arcs by size; means live by their answers; 30 probes a request

Cause: subsets drawn by chance left some servers with a third more nodes than others, which jammed them; means of one or two answers were forgotten after two windows; the bound of 15 probes left idle servers unseen.

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import ottergauge.DecisionApi.*;
 
@@ -22,8 +23,6 @@
     private static final int WEIGHT_TOTAL = 1000;
     // The class table's bound: classes past it borrow the shared row.
     private static final int MOST_ROWS = 64;
-    // A server's own mean outlives this many windows without a sample; then the others' stands in.
-    private static final int WINDOWS_KEPT = 2;
     // A row's answers for each server from which on its means say more than the shared row's.
     private static final int ROW_ANSWERS = 3;
     // A server is skipped when its own in-flight count is over this multiple of the mean, plus one.
@@ -35,7 +34,7 @@
     // The weight of a new sample in the running means: about the last ten count.
     private static final double BLEND = 0.1;
     // The most of the result that probing for load may cost: well under what a bad choice costs.
-    private static final double PROBE_SPEND = 0.03;
+    private static final double PROBE_SPEND = 0.06;
     // The most of the result that open connections may cost: they also take capacity of every server.
     private static final double CONNECTION_SPEND = 0.005;
     // A node's servers, at the least: with a fifth of the fleet silent, fewer would often all be silent.
@@ -85,14 +84,15 @@
     private static final int TOLD_PEERS = 4;
     private static final byte TOLD_VERSION = 1;
     private static final double TOLD_SCALE = 25;
-    // While the others leave room unused, a node may have this multiple of its own part out.
+    // While others leave room unused, a node may have this multiple of its part out.
     private static final double SPARE_ROOM = 2;
     private static final long LOOK_EVERY = 25_000;
     private static final long FIRST_ASK_WITHIN = 200_000;
     private static final long ASK_AGAIN = 500_000;
     private static final int MOST_ASK_DOUBLINGS = 3;
-    // Keeps the draws of nodes and servers apart.
-    private static final long ORDER_STEP = 0x9E3779B97F4A7C15L;
+    // Steps of the golden ratio spread a node's points over the ring, however many they are.
+    private static final double GOLDEN = 0.6180339887498949;
+    private static final int SUBSET_TRIES = 4;
     private static final long NEVER = Long.MIN_VALUE / 4;
 
     // What may be out at once: at one server or, where a node's part of one is under one, at all.
@@ -106,8 +106,9 @@
     // A server, as this node knows it.
     private static final class Server {
         final long id;
-        // The node's own order of the servers: the first of them are its subset.
+        // Place and arc on the ring.
         final double order;
+        final double size;
         ListedServer entry;
         ServerState state;
         final ArrayList<Attempt> out = new ArrayList<>();
@@ -116,7 +117,6 @@
         int[] count;
         double[] mean;
         int[] answers;
-        int[] idle;
         int[] weight;
         double[] current;
         boolean candidate;
@@ -141,20 +141,23 @@
         double coldDraw;
         final ArrayDeque<Long> coldSends = new ArrayDeque<>(0);
 
-        Server(ListedServer entry, double order) {
-            this.id = entry.id();
-            this.order = order;
+        Server(ListedServer entry) {
+            id = entry.id();
+            order = new SplittableRandom(id).nextDouble();
+            size = Math.max(0.01, entry.nominal());
             this.entry = entry;
             this.state = entry.state();
         }
 
         // The rotation's figures, which only the servers of the subset need.
         void join(int rows, SplittableRandom random) {
+            if (sum != null) {
+                return;
+            }
             sum = new double[rows];
             count = new int[rows];
             mean = new double[rows];
             answers = new int[rows];
-            idle = new int[rows];
             weight = new int[rows];
             current = new double[rows];
             for (int row = 0; row < rows; row++) {
@@ -207,6 +210,8 @@
     private final Room sharedRoom = new Room();
     private final Map<Long, Server> byId = new HashMap<>();
     private final ArrayList<Server> servers = new ArrayList<>();
+    private final TreeMap<Double, Server> ring = new TreeMap<>();
+    private double ringLength;
     private final ArrayList<Server> subset = new ArrayList<>();
     private final ArrayList<Attempt> out = new ArrayList<>();
     private double outTime;
@@ -251,7 +256,7 @@
         sounds = settings.limits().probes() && settings.reportsLoad()
             && settings.prices().probe() * 2 <= PROBE_SPEND;
         double price = settings.prices().probe();
-        mostProbes = (int) Math.min(FREE_SUBSET / 2, price > 0 ? PROBE_SPEND / price : FREE_SUBSET);
+        mostProbes = (int) Math.min(FREE_SUBSET, price > 0 ? PROBE_SPEND / price : FREE_SUBSET);
         shareUntil = new double[settings.tenants().size()];
     }
 
@@ -464,10 +469,10 @@
                 if (s.count[row] > 0) {
                     s.mean[row] = s.sum[row] / s.count[row];
                     s.answers[row] = s.count[row];
-                    s.idle[row] = 0;
-                } else if (++s.idle[row] >= WINDOWS_KEPT) {
-                    s.mean[row] = 0;
-                    s.answers[row] = 0;
+                } else {
+                    // Without samples a mean outlives a window for each doubling of the answers in it.
+                    s.answers[row] /= 2;
+                    s.mean[row] = s.answers[row] == 0 ? 0 : s.mean[row];
                 }
                 s.sum[row] = 0;
                 s.count[row] = 0;
@@ -476,8 +481,8 @@
         chooseSubset();
     }
 
-    // Departure "subset": a node rotates over the first servers of an order of its own. All nodes together
-    // opened more connections than servers take, learnt nothing of each, and spent their CPU on walking them.
+    // Departure "subset": a node rotates over the servers at its points of a ring with arcs by size: each server
+    // has as many nodes. All nodes at all servers filled their tables, learnt nothing, used up the CPU.
     private void chooseSubset() {
         pooled = settings.nodes() > servers.size();
         if (pooled && sharedRoom.size == 0) {
@@ -485,17 +490,14 @@
         }
         int size = subsetSize();
         subset.clear();
-        for (Server s : servers) {
-            boolean barred = now < s.barredUntil && servers.size() > size;
-            if (!barred && s.state == ServerState.UP) {
-                if (s.sum == null) {
-                    s.join(sharedRow + 1, random);
-                }
+        boolean all = size >= servers.size();
+        for (int k = 0; subset.size() < size && k < (all ? servers.size() : SUBSET_TRIES * size); k++) {
+            double point = ((settings.node() + 0.5) / settings.nodes() + k * GOLDEN) % 1;
+            Server s = all ? servers.get(k) : ring.floorEntry(point * ringLength).getValue();
+            if (s.state == ServerState.UP && (all || now >= s.barredUntil) && !subset.contains(s)) {
+                s.join(sharedRow + 1, random);
                 subset.add(s);
             }
-            if (subset.size() >= size) {
-                break;
-            }
         }
         for (int row = 0; row <= sharedRow; row++) {
             weigh(row);
@@ -638,7 +640,7 @@
 
     private double crowd(Server s) {
         if (!sounds) {
-            boolean full = pooled && s.utilization > FULL_CORES && now - s.utilizationAt < WINDOW / 5;
+            boolean full = pooled && s.utilization > FULL_CORES && now - s.utilizationAt < WINDOW / 10;
             return s.out.size() + (full ? 1 : 0);
         }
         return known(s) ? Math.max(s.load, s.out.size()) : s.out.size();
@@ -808,8 +810,7 @@
         }
     }
 
-    // What an attempt took, or took at the least: one that ran out of time counts as well. Left out, the
-    // means hold only the quick ones just when all is slow, and ever more work is sent that will be late.
+    // What an attempt took, at the least: left out, those that ran out of time hide that all is slow.
     private void learn(Server s, Attempt a, long elapsed) {
         int row = a.request.row;
         usual[row] = blend(usual[row], elapsed);
@@ -819,8 +820,7 @@
         adjustRoom(s, elapsed / (double) a.request.type.aim());
     }
 
-    // Room under one is kept by pauses between attempts. Without them many nodes, one attempt each, keep a
-    // server jammed that has become slow by having too much to do.
+    // Room under one is kept by pauses: without them many nodes, one attempt each, keep a jam going.
     private void rest(Server s, long elapsed) {
         Room room = roomOf(s);
         if (!sounds && outIn(s) == 0 && room.size < 1) {
@@ -1030,7 +1030,7 @@
             Server s = byId.get(e.id());
             boolean known = s != null;
             if (!known) {
-                s = new Server(e, order(e));
+                s = new Server(e);
                 byId.put(s.id, s);
                 servers.add(s);
             }
@@ -1047,15 +1047,15 @@
         }
         servers.removeIf(s -> s.state == ServerState.GONE && byId.remove(s.id) == s);
         servers.sort(Comparator.comparingDouble((Server s) -> s.order).thenComparingLong(s -> s.id));
+        ring.clear();
+        ringLength = 0;
+        for (Server s : servers) {
+            ring.put(ringLength, s);
+            ringLength += s.size;
+        }
         chooseSubset();
     }
 
-    // Weighted rendezvous: nodes differ in their order, sizes count, and a change moves no other server.
-    private double order(ListedServer e) {
-        double drawn = new SplittableRandom(e.id() * ORDER_STEP + settings.node()).nextDouble();
-        return -Math.log(1 - drawn) / Math.max(0.01, e.nominal());
-    }
-
     private void askAgain() {
         if (settings.discovery() == Discovery.ON_REQUEST) {
             long span = ASK_AGAIN << Math.min(asksFailed++, MOST_ASK_DOUBLINGS);
