--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -481,8 +481,8 @@
         chooseSubset();
     }
 
-    // Departure "subset": a node rotates over the servers at its points of a ring with arcs by size: each server
-    // has as many nodes. All nodes at all servers filled their tables, learnt nothing, used up the CPU.
+    // Departure "subset": a node rotates over the servers at its points of a ring with arcs by size, an even
+    // part each. All nodes at all servers filled their tables, learnt nothing and used up the CPU.
     private void chooseSubset() {
         pooled = settings.nodes() > servers.size();
         if (pooled && sharedRoom.size == 0) {
--- a/src/test/java/ottergauge/ScaleTest.java
+++ b/src/test/java/ottergauge/ScaleTest.java
@@ -88,7 +88,8 @@
         }
         assertEquals(SERVERS, users.size(), "servers in use");
         int most = users.values().stream().max(Integer::compare).orElseThrow();
-        assertTrue(most <= 2 * NODES * 4 / SERVERS, "nodes at one server: " + most);
+        // 24 at the mean; drawn by chance, one of fifty would have about 36.
+        assertTrue(most <= 30, "nodes at one server: " + most);
     }
 
     @Test
