--- a/src/test/java/ottergauge/simhost/SimHostTest.java
+++ b/src/test/java/ottergauge/simhost/SimHostTest.java
@@ -159,8 +159,8 @@
         String peers = start("1").replace("\"maxAttempts\"", "\"peerMessages\":true,\"maxAttempts\"");
         String answer = "{\"msg\":\"Verdict\",\"msgId\":\"rq_a\",\"last\":true,\"shot\":0,"
             + "\"code\":\"GOOD\",\"server\":4294967295,\"spentMs\":5}";
-        List<String> replies = run(batch(10, part(0, peers, query("rq_a", 1010))) + batch(15, part(0, answer)));
-        String all = String.join("", replies);
+        String input = batch(10, part(0, peers, query("rq_a", 1010))) + batch(15, part(0, answer));
+        String all = String.join("", run(input));
         assertTrue(all.matches(".*\\{\"msg\":\"Share\",\"to\":1,\"payload\":\"01[0-9a-f]{4}\"}.*"), all);
     }
 
