--- a/src/main/java/ottergauge/cli/Main.java
+++ b/src/main/java/ottergauge/program/Main.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package ottergauge.cli;
+package ottergauge.program;
 
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -9,7 +9,7 @@
 
 /** The command line: one subcommand for each way of running the node. */
 @Command(name = "ottergauge", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-    description = "A load balancer node.", subcommands = SimHostCommand.class)
+    description = "A load balancer node.", subcommands = {ServeCommand.class, SimHostCommand.class})
 public final class Main implements Runnable {
 
     @Spec
--- a/src/main/java/ottergauge/cli/SimHostCommand.java
+++ b/src/main/java/ottergauge/program/SimHostCommand.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package ottergauge.cli;
+package ottergauge.program;
 
 import java.io.IOException;
 import java.util.concurrent.Callable;
--- /dev/null
+++ b/src/main/java/ottergauge/protocol/HostList.java
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.protocol;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import ottergauge.DecisionApi.ServerState;
+import ottergauge.settings.JsonTree;
+
+/** Discovery's list of servers, whole or only what changed. */
+public record HostList(long seq, boolean whole, List<Host> hosts) {
+
+    /** One server: {@code name} is its identity, {@code dial} where this node reaches it. */
+    public record Host(String name, Address dial, String site, String kind, int block, ServerState state,
+                       double share, long bornMs) { }
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /** Reads discovery's answer. */
+    public static HostList read(byte[] body) throws ProtocolException {
+        try (JsonParser in = JSON.createParser(body)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new ProtocolException("a list is an object");
+            }
+            return of(JsonTree.object(in));
+        } catch (IOException e) {
+            throw new ProtocolException("the list is no JSON: " + e.getMessage());
+        }
+    }
+
+    static HostList of(Map<?, ?> tree) throws ProtocolException {
+        if (!(tree.get("seq") instanceof Double seq) || !(tree.get("hosts") instanceof List<?> entries)) {
+            throw new ProtocolException("a list needs seq and hosts");
+        }
+        List<Host> hosts = new ArrayList<>();
+        for (Object entry : entries) {
+            if (!(entry instanceof Map<?, ?> fields)) {
+                throw new ProtocolException("an entry is an object");
+            }
+            hosts.add(host(fields));
+        }
+        return new HostList(seq.longValue(), Boolean.TRUE.equals(tree.get("whole")), hosts);
+    }
+
+    private static Host host(Map<?, ?> fields) throws ProtocolException {
+        if (!(fields.get("host") instanceof String name) || name.isEmpty()) {
+            throw new ProtocolException("an entry needs a host");
+        }
+        return new Host(name, Address.parse(text(fields, "dial")), text(fields, "site"),
+            text(fields, "class"), (int) number(fields, "block", 0),
+            state(text(fields, "health")), number(fields, "share", 1),
+            (long) number(fields, "born_ms", 0));
+    }
+
+    private static ServerState state(String health) throws ProtocolException {
+        return switch (String.valueOf(health)) {
+            case "in_service" -> ServerState.UP;
+            case "terminating" -> ServerState.DRAINING;
+            case "terminated" -> ServerState.GONE;
+            default -> throw new ProtocolException("unknown health " + health);
+        };
+    }
+
+    private static String text(Map<?, ?> fields, String key) {
+        return fields.get(key) instanceof String text ? text : null;
+    }
+
+    private static double number(Map<?, ?> fields, String key, double absent) {
+        return fields.get(key) instanceof Double number ? number : absent;
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/protocol/LoadReports.java
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.protocol;
+
+import ottergauge.DecisionApi.LoadReport;
+
+/**
+ * Reads load reports in text form: {@code TEXT inflight=7, queue=2, util=0.61}. Servers name the fields as
+ * the settings do or as the protocol's page does; both are read.
+ */
+public final class LoadReports {
+
+    private static final String FORM = "TEXT";
+
+    private LoadReports() {
+    }
+
+    /** Reads a report; what it lacks or what cannot be read is NaN, names not known are skipped. */
+    public static LoadReport read(String text) {
+        if (text == null || !text.startsWith(FORM)) {
+            return LoadReport.NONE;
+        }
+        double inFlight = Double.NaN;
+        double queued = Double.NaN;
+        double utilization = Double.NaN;
+        double latencyMs = Double.NaN;
+        double errors = Double.NaN;
+        for (String pair : text.substring(FORM.length()).split(",")) {
+            int equals = pair.indexOf('=');
+            double value = equals < 0 ? Double.NaN : number(pair.substring(equals + 1));
+            switch (equals < 0 ? "" : pair.substring(0, equals).trim()) {
+                case "outstanding", "inflight" -> inFlight = value;
+                case "backlog", "queue" -> queued = value;
+                case "utilization", "util" -> utilization = value;
+                case "recent_ms", "latency_ms" -> latencyMs = value;
+                case "errors_per_s", "eps" -> errors = value;
+                default -> { }
+            }
+        }
+        return new LoadReport(inFlight, queued, utilization, latencyMs * 1000, errors);
+    }
+
+    private static double number(String text) {
+        try {
+            double value = Double.parseDouble(text.trim());
+            return Double.isFinite(value) && value >= 0 ? value : Double.NaN;
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/protocol/NodeConfig.java
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.protocol;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import ottergauge.DecisionApi.Settings;
+import ottergauge.settings.JsonTree;
+import ottergauge.settings.SettingsReader;
+
+/**
+ * What a node is told at its start. Spans are microseconds; {@code sockets} bounds its descriptors.
+ */
+public record NodeConfig(String name, Address listen, Address discovery, long seed, int sockets,
+                         HostList known, Settings settings, List<String> zones, List<String> kinds,
+                         long connectTimeout, long connectionIdle, long askWithin) {
+
+    private static final int HEXADECIMAL = 16;
+
+    /** Reads the configuration file's content. */
+    public static NodeConfig read(byte[] content) throws ProtocolException {
+        try (JsonParser in = new JsonFactory().createParser(content)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new ProtocolException("the configuration is an object");
+            }
+            return of(JsonTree.object(in));
+        } catch (IOException e) {
+            throw new ProtocolException("the configuration is no JSON: " + e.getMessage());
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private static NodeConfig of(Map<String, Object> tree) throws ProtocolException {
+        if (!(tree.get("settings") instanceof Map<?, ?> map)) {
+            throw new ProtocolException("the configuration has no settings");
+        }
+        Map<String, Object> settings = (Map<String, Object>) map;
+        SettingsReader root = new SettingsReader(tree);
+        SettingsReader limits = new SettingsReader(settings).child("ceilings");
+        HostList known = tree.get("known") instanceof Map<?, ?> list ? HostList.of(list)
+            : new HostList(0, true, List.of());
+        Settings read = SettingsReader.settings(settings);
+        if (read.classes().isEmpty()) {
+            throw new ProtocolException("the settings name no classes");
+        }
+        return new NodeConfig(root.text("name", "node"), Address.parse(root.text("listen", null)),
+            Address.parse(root.text("discovery", null)), seed(root.text("seed", "0")),
+            (int) root.child("limits").number("sockets", 1024), known, read,
+            SettingsReader.names(settings, "zones"), SettingsReader.names(settings, "kinds"),
+            limits.micros("connectTimeoutMs", 1000), limits.micros("connIdleMs", 15_000),
+            new SettingsReader(settings).child("rules").micros("mustAskInMs", 10_000));
+    }
+
+    private static long seed(String hex) throws ProtocolException {
+        try {
+            return Long.parseUnsignedLong(hex, HEXADECIMAL);
+        } catch (NumberFormatException e) {
+            throw new ProtocolException("seed is up to 16 hex digits");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/protocol/RequestFields.java
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.protocol;
+
+import java.util.function.UnaryOperator;
+
+/**
+ * The fields of a request that the decisions need. {@code expiresInMs} is -1 where the client names none.
+ */
+public record RequestFields(String traceId, String requestClass, long expiresInMs, boolean secondTry,
+                            String idempotencyKey) {
+
+    // Past this a time to wait is no time to wait: an hour.
+    private static final long MOST_EXPIRY_MS = 3_600_000;
+
+    /** Reads the fields through a look-up of header values, which gives null for one that is absent. */
+    public static RequestFields read(UnaryOperator<String> header) throws ProtocolException {
+        String traceId = header.apply(Headers.TRACE_ID);
+        String requestClass = header.apply(Headers.REQUEST_CLASS);
+        if (traceId == null || traceId.isBlank()) {
+            throw new ProtocolException("no " + Headers.TRACE_ID);
+        }
+        if (requestClass == null) {
+            throw new ProtocolException("no " + Headers.REQUEST_CLASS);
+        }
+        return new RequestFields(traceId, requestClass, expiry(header.apply(Headers.EXPIRES_IN_MS)),
+            "1".equals(header.apply(Headers.SECOND_TRY)), header.apply(Headers.IDEMPOTENCY_KEY));
+    }
+
+    private static long expiry(String text) throws ProtocolException {
+        if (text == null) {
+            return -1;
+        }
+        try {
+            return Math.max(0, Math.min(MOST_EXPIRY_MS, Long.parseLong(text.trim())));
+        } catch (NumberFormatException e) {
+            throw new ProtocolException(Headers.EXPIRES_IN_MS + " is no whole number");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/routing/CloseReason.java
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+/** Why a connection ended: the code in its log line. */
+public enum CloseReason {
+    /** The other side closed it. */
+    PEER_CLOSED,
+    /** It broke. */
+    RESET,
+    /** It was refused, or could not be reached. */
+    CONNECT_FAILED,
+    /** It was not up within the time that connections have. */
+    CONNECT_TIMEOUT,
+    /** It stood idle for too long. */
+    IDLE,
+    /** The attempt on it ran out of time. */
+    TIMED_OUT,
+    /** The attempt on it was cancelled. */
+    CANCELLED,
+    /** One side asked for no further request on it. */
+    NOT_REUSABLE,
+    /** Its server drains, is gone, or has moved. */
+    DELISTED,
+    /** What came on it is no request or answer. */
+    MALFORMED,
+    /** A request on it was begun and not finished in time. */
+    SLOW_REQUEST,
+    /** The node was short of sockets. */
+    SOCKETS_SHORT,
+    /** The node is stopping. */
+    STOPPING
+}
--- /dev/null
+++ b/src/main/java/ottergauge/routing/Effect.java
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import ottergauge.protocol.Address;
+import ottergauge.routing.Event.ClientRequest;
+
+/** Something the transport is to do. Spans are microseconds. */
+public sealed interface Effect {
+
+    /** A final answer; {@code last} closes the connection after it, {@code retryAfter} of 0 is no advice. */
+    record Respond(long client, int status, long retryAfter, byte[] body, boolean last) implements Effect { }
+
+    record CloseClient(long client, CloseReason reason) implements Effect { }
+
+    record Connect(long connection, Address address, long timeout) implements Effect { }
+
+    /** Writes a request to a server; {@code waits} is how long the node will wait for the answer. */
+    record Forward(long connection, ClientRequest request, long waits) implements Effect { }
+
+    /** Asks a server for its load. */
+    record AskLoad(long connection) implements Effect { }
+
+    record CloseServer(long connection, CloseReason reason) implements Effect { }
+
+    /** Asks discovery for what is newer than a version, waiting so long for it. */
+    record CallDiscovery(long after, long waits) implements Effect { }
+
+    record StartTimer(long delay, Timer timer) implements Effect { }
+
+    /** All is answered: the program may end. */
+    record Exit() implements Effect { }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import ottergauge.DecisionApi.LoadReport;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.RequestFields;
+
+/** Something that happened at the node's edge. Connections are known by the numbers given to them. */
+public sealed interface Event {
+
+    /** A request as it came; method, path and body go on unchanged. */
+    record ClientRequest(RequestFields fields, String method, String uri, byte[] body) { }
+
+    /** A server's whole answer; {@code reusable} says that its connection may carry another request. */
+    record ServerAnswer(int status, boolean neverRan, LoadReport report, byte[] body, boolean reusable) { }
+
+    record ClientConnected(long client) implements Event { }
+
+    /** The head of a request has come. */
+    record RequestBegan(long client) implements Event { }
+
+    /** The last byte of a request has come. */
+    record RequestRead(long client, ClientRequest request) implements Event { }
+
+    /** What came is no request that the node takes; the status says why. */
+    record RequestUnreadable(long client, int status, String why) implements Event { }
+
+    /** A client asked how the node is: whether it takes new clients, or only whether it lives. */
+    record HealthAsked(long client, boolean readiness) implements Event { }
+
+    /** The last byte of the answer is written, or writing it failed. */
+    record AnswerWritten(long client) implements Event { }
+
+    record ClientClosed(long client) implements Event { }
+
+    record ServerConnected(long connection) implements Event { }
+
+    record ConnectFailed(long connection) implements Event { }
+
+    /** The last byte of the connection's request is written. */
+    record RequestWritten(long connection) implements Event { }
+
+    record AnswerRead(long connection, ServerAnswer answer) implements Event { }
+
+    record ServerClosed(long connection) implements Event { }
+
+    record ListRead(HostList list) implements Event { }
+
+    record ListCallFailed() implements Event { }
+
+    record TimerFired(Timer timer) implements Event { }
+
+    /** The node has been told to stop. */
+    record StopAsked() implements Event { }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/routing/Job.java
@@ -0,0 +1,29 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+/** An attempt of a request, or a probe (with no exchange), at one server. */
+final class Job {
+    final long number;
+    final Exchange exchange;
+    final int attempt;
+    final long server;
+    final long startedAt;
+    final long dueAt;
+    /** Set once a connection carries it. */
+    ServerConnection connection;
+    /** Whether its last byte is written: until then it cannot have run. */
+    boolean written;
+
+    Job(long number, Exchange exchange, int attempt, long server, long startedAt, long dueAt) {
+        this.number = number;
+        this.exchange = exchange;
+        this.attempt = attempt;
+        this.server = server;
+        this.startedAt = startedAt;
+        this.dueAt = dueAt;
+    }
+
+    boolean isProbe() {
+        return exchange == null;
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -0,0 +1,341 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import ottergauge.Decide;
+import ottergauge.DecisionApi;
+import ottergauge.DecisionApi.AttemptEnded;
+import ottergauge.DecisionApi.ClientGone;
+import ottergauge.DecisionApi.ListFailed;
+import ottergauge.DecisionApi.LoadReport;
+import ottergauge.DecisionApi.ProbeEnded;
+import ottergauge.DecisionApi.RequestArrived;
+import ottergauge.DecisionApi.RequestClass;
+import ottergauge.DecisionApi.Result;
+import ottergauge.protocol.NodeConfig;
+import ottergauge.protocol.Outcomes;
+import ottergauge.routing.Effect.Exit;
+import ottergauge.routing.Effect.StartTimer;
+import ottergauge.routing.Event.AnswerRead;
+import ottergauge.routing.Event.RequestRead;
+import ottergauge.routing.Event.ServerAnswer;
+
+/**
+ * The node's one reducer: it owns all state, takes an event and asks for effects. It carries out what the
+ * decision module decides and decides nothing itself.
+ */
+public final class Router {
+
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final byte[] NOTHING = {};
+    // Descriptors that are no connections of clients or servers: the program's own files, standard streams,
+    // selector, listener and discovery, and what the operating system has not yet finished closing.
+    private static final int RESERVE = 64;
+    private static final long SWEEP_EVERY = 1_000_000;
+    // New connections go on coming for up to 0.4 s after the node is told to stop; 0.1 s for late ones.
+    private static final long FRONT_QUIET = 500_000;
+
+    private final NodeConfig config;
+    private final Decide decide;
+    private final Consumer<Effect> effects;
+    private final Clients clients;
+    private final Upstreams upstreams;
+    private final Watch watch;
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Exchange> exchanges = new HashMap<>();
+    private final Map<Long, Job> jobs = new HashMap<>();
+    private final Deque<DecisionApi.Event> learnt = new ArrayDeque<>();
+    private final Deque<DecisionApi.Action> decided = new ArrayDeque<>();
+    private long now;
+    private long lastExchange;
+    private long lastJob;
+    private boolean stopping;
+    private boolean frontQuiet;
+    private boolean exiting;
+
+    public Router(NodeConfig config, Consumer<Effect> effects) {
+        this.config = config;
+        this.effects = effects;
+        decide = new Decide(config.settings(), config.seed());
+        long longest = 0;
+        for (RequestClass type : config.settings().classes()) {
+            classes.put(type.name(), classes.size());
+            longest = Math.max(longest, type.deadline());
+        }
+        // No request can still be of use once its class's deadline is over.
+        clients = new Clients(2 * config.connectionIdle(), longest, effects);
+        upstreams = new Upstreams(config.connectTimeout(), config.connectionIdle(), effects);
+        watch = new Watch(config, effects);
+    }
+
+    /** Begins with the list that the node had last. */
+    public void start(long at) {
+        now = at;
+        upstreams.follow(config.known());
+        learnt.add(watch.lastKnown());
+        effects.accept(new StartTimer(SWEEP_EVERY, new Timer.Sweep()));
+        decideAll();
+    }
+
+    /** Takes one event. */
+    public void handle(long at, Event event) {
+        now = at;
+        if (event instanceof RequestRead e) {
+            requestRead(e);
+        } else if (event instanceof AnswerRead e) {
+            upstreams.answered(now, e.connection(), e.answer().reusable())
+                .ifPresent(job -> ended(job, e.answer()));
+        } else if (event instanceof Event.RequestBegan e) {
+            clients.began(now, e.client());
+        } else if (event instanceof Event.RequestWritten e) {
+            upstreams.written(e.connection());
+        } else if (event instanceof Event.AnswerWritten e) {
+            clients.answerWritten(now, e.client());
+        } else if (event instanceof Event.TimerFired e) {
+            timerFired(e.timer());
+        } else if (event instanceof Event.ClientConnected e) {
+            clients.connected(now, e.client());
+            makeRoom(0);
+        } else if (event instanceof Event.ClientClosed e) {
+            Exchange exchange = clients.closed(e.client());
+            if (exchange != null) {
+                over(exchange);
+                learnt.add(new ClientGone(exchange.id));
+            }
+        } else if (event instanceof Event.ServerConnected e) {
+            upstreams.connected(now, e.connection());
+        } else if (event instanceof Event.ConnectFailed e) {
+            upstreams.connectFailed(e.connection()).ifPresent(job -> ended(job, Result.CONNECT_FAILED));
+        } else if (event instanceof Event.ServerClosed e) {
+            upstreams.closed(e.connection()).ifPresent(job -> ended(job, broken(job)));
+        } else if (event instanceof Event.ListRead e) {
+            listRead(e);
+        } else if (event instanceof Event.ListCallFailed) {
+            watch.failed();
+            learnt.add(new ListFailed());
+        } else if (event instanceof Event.HealthAsked e) {
+            clients.respond(e.client(), e.readiness() && stopping ? UNAVAILABLE : OK, 0, NOTHING, false);
+        } else if (event instanceof Event.RequestUnreadable e) {
+            clients.respond(e.client(), e.status(), 0, NOTHING, true);
+        } else if (event instanceof Event.StopAsked) {
+            stop();
+        }
+        decideAll();
+        exitIfDone();
+    }
+
+    // ---- Clients ------------------------------------------------------------------------------------
+
+    private void requestRead(RequestRead e) {
+        Integer requestClass = classes.get(e.request().fields().requestClass());
+        if (requestClass == null) {
+            clients.respond(e.client(), BAD_REQUEST, 0, NOTHING, false);
+            return;
+        }
+        long wait = e.request().fields().expiresInMs() * 1000;
+        if (wait < 0) {
+            wait = config.settings().classes().get(requestClass).deadline();
+        }
+        // The client's time runs from when it sent the request, which is nearer to the first byte.
+        long giveUpAt = clients.beganAt(e.client(), now) + wait;
+        Exchange exchange = new Exchange(Long.toString(++lastExchange), e.client(), e.request(), giveUpAt);
+        exchanges.put(exchange.id, exchange);
+        clients.took(e.client(), exchange);
+        learnt.add(new RequestArrived(exchange.id, requestClass, -1, giveUpAt,
+            e.request().fields().secondTry()));
+    }
+
+    private void answer(String id, int status, long retryAfter, byte[] body) {
+        Exchange exchange = exchanges.get(id);
+        if (exchange != null && !exchange.over) {
+            over(exchange);
+            clients.respond(exchange.client, status, retryAfter, body, false);
+        }
+    }
+
+    private void over(Exchange exchange) {
+        exchange.over = true;
+        forgetIfDone(exchange);
+    }
+
+    private void forgetIfDone(Exchange exchange) {
+        if (exchange.over && exchange.out.isEmpty()) {
+            exchanges.remove(exchange.id);
+        }
+    }
+
+    // ---- Attempts and probes ------------------------------------------------------------------------
+
+    private void send(DecisionApi.Send action) {
+        Exchange exchange = exchanges.get(action.id());
+        int attempt = exchange == null ? 0 : exchange.attempts++;
+        long left = exchange == null ? 0 : exchange.giveUpAt - now;
+        long limit = action.timeout() == 0 ? left : Math.min(left, action.timeout());
+        if (exchange == null || exchange.over || limit <= 0 || !upstreams.knows(action.server())
+            || upstreams.needsConnection(action.server()) && !makeRoom(1)) {
+            learnt.add(new AttemptEnded(action.id(), attempt, action.server(), Result.NOT_SENT, 0,
+                exchange == null || exchange.over, LoadReport.NONE));
+            return;
+        }
+        Job job = new Job(++lastJob, exchange, attempt, action.server(), now, now + limit);
+        exchange.out.add(job);
+        start(job);
+    }
+
+    private void probe(DecisionApi.Probe action) {
+        if (!upstreams.knows(action.server())
+            || upstreams.needsConnection(action.server()) && !makeRoom(1)) {
+            learnt.add(new ProbeEnded(action.server(), Result.NOT_SENT, 0, LoadReport.NONE));
+            return;
+        }
+        // The settings name no time for a probe; what a connection may take is long for so small an answer.
+        start(new Job(++lastJob, null, 0, action.server(), now, now + config.connectTimeout()));
+    }
+
+    private void start(Job job) {
+        jobs.put(job.number, job);
+        effects.accept(new StartTimer(job.dueAt - now, new Timer.JobDue(job.number)));
+        upstreams.start(now, job);
+    }
+
+    private void cancel(DecisionApi.Cancel action) {
+        Exchange exchange = exchanges.get(action.id());
+        Optional<Job> out = exchange == null ? Optional.empty()
+            : exchange.out.stream().filter(job -> job.attempt == action.attempt()).findFirst();
+        out.ifPresent(job -> {
+            upstreams.giveUp(job, CloseReason.CANCELLED);
+            ended(job, job.written ? Result.CANCELLED : Result.NOT_SENT);
+        });
+    }
+
+    private void due(long number) {
+        Job job = jobs.get(number);
+        if (job != null) {
+            upstreams.giveUp(job, CloseReason.TIMED_OUT);
+            ended(job, job.written ? Result.TIMED_OUT : Result.CONNECT_FAILED);
+        }
+    }
+
+    // A server begins a request when its last byte has come: before that is written nothing can have run.
+    private static Result broken(Job job) {
+        return job.written ? Result.RESET : Result.CONNECT_FAILED;
+    }
+
+    private void ended(Job job, Result result) {
+        ended(job, result, LoadReport.NONE);
+    }
+
+    private void ended(Job job, ServerAnswer answer) {
+        Result result = Outcomes.of(answer.status(), answer.neverRan());
+        if (!job.isProbe() && result == Result.SERVED) {
+            answer(job.exchange.id, OK, 0, answer.body());
+        }
+        ended(job, result, answer.report());
+    }
+
+    private void ended(Job job, Result result, LoadReport report) {
+        jobs.remove(job.number);
+        long elapsed = now - job.startedAt;
+        if (job.isProbe()) {
+            learnt.add(new ProbeEnded(job.server, result, elapsed, report));
+            return;
+        }
+        Exchange exchange = job.exchange;
+        exchange.out.remove(job);
+        learnt.add(new AttemptEnded(exchange.id, job.attempt, job.server, result, elapsed, exchange.over,
+            report));
+        forgetIfDone(exchange);
+    }
+
+    // ---- Sockets ------------------------------------------------------------------------------------
+
+    // Short of sockets, idle connections go before anything is refused.
+    private boolean makeRoom(int wanted) {
+        int most = Math.max(1, config.sockets() - RESERVE);
+        while (clients.open() + upstreams.open() + wanted > most) {
+            if (!upstreams.closeOneIdle() && !clients.closeOneIdle()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    // ---- Discovery ----------------------------------------------------------------------------------
+
+    private void listRead(Event.ListRead e) {
+        upstreams.follow(e.list()).forEach(job -> ended(job, Result.NOT_SENT));
+        watch.read(now, e.list()).ifPresent(learnt::add);
+    }
+
+    // ---- Time and the end ---------------------------------------------------------------------------
+
+    private void timerFired(Timer timer) {
+        if (timer instanceof Timer.Wake wake) {
+            learnt.add(new DecisionApi.TimerFired(wake.token()));
+        } else if (timer instanceof Timer.JobDue due) {
+            due(due.job());
+        } else if (timer instanceof Timer.NextCall) {
+            watch.call(now);
+        } else if (timer instanceof Timer.FrontQuiet) {
+            frontQuiet = true;
+            clients.closeIdle(CloseReason.STOPPING);
+        } else {
+            upstreams.sweep(now);
+            clients.sweep(now);
+            effects.accept(new StartTimer(SWEEP_EVERY, timer));
+        }
+    }
+
+    private void stop() {
+        if (!stopping) {
+            stopping = true;
+            clients.stop();
+            effects.accept(new StartTimer(FRONT_QUIET, new Timer.FrontQuiet()));
+        }
+    }
+
+    private void exitIfDone() {
+        if (frontQuiet && !exiting && clients.open() == 0) {
+            exiting = true;
+            effects.accept(new Exit());
+        }
+    }
+
+    // ---- The decision module ------------------------------------------------------------------------
+
+    private void decideAll() {
+        while (!learnt.isEmpty()) {
+            decide.handle(now, learnt.poll(), decided::add);
+            while (!decided.isEmpty()) {
+                carryOut(decided.poll());
+            }
+        }
+    }
+
+    private void carryOut(DecisionApi.Action action) {
+        if (action instanceof DecisionApi.Send a) {
+            send(a);
+        } else if (action instanceof DecisionApi.Probe a) {
+            probe(a);
+        } else if (action instanceof DecisionApi.SetTimer a) {
+            effects.accept(new StartTimer(a.delay(), new Timer.Wake(a.token())));
+        } else if (action instanceof DecisionApi.Cancel a) {
+            cancel(a);
+        } else if (action instanceof DecisionApi.Refuse a) {
+            answer(a.id(), UNAVAILABLE, a.retryAfter(), NOTHING);
+        } else if (action instanceof DecisionApi.Fail a) {
+            answer(a.id(), BAD_GATEWAY, 0, NOTHING);
+        } else if (action instanceof DecisionApi.Subscribe) {
+            watch.begin(now);
+        }
+        // Nodes have no way to tell each other anything: a Tell is lost, as the interface allows.
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/routing/ServerConnection.java
@@ -0,0 +1,17 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+/** A connection to a server, from the moment it is asked for. */
+final class ServerConnection {
+    final long number;
+    final Upstream upstream;
+    boolean up;
+    /** What it carries, or null. */
+    Job job;
+    long idleSince;
+
+    ServerConnection(long number, Upstream upstream) {
+        this.number = number;
+        this.upstream = upstream;
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/routing/Timer.java
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+/** What a timer is for. Timers are never cancelled: one that is no longer wanted is passed over. */
+public sealed interface Timer {
+
+    /** The decision module's own. */
+    record Wake(String token) implements Timer { }
+
+    /** An attempt's or probe's time is over. */
+    record JobDue(long job) implements Timer { }
+
+    /** Time to look for connections that have been idle, or half a request, for too long. */
+    record Sweep() implements Timer { }
+
+    /** Time for the next call of a watch. */
+    record NextCall() implements Timer { }
+
+    /** No new connections come any more after the node was told to stop. */
+    record FrontQuiet() implements Timer { }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/routing/Upstream.java
@@ -0,0 +1,22 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import ottergauge.protocol.Address;
+
+/** A server's connections, and what waits for one. */
+final class Upstream {
+    final long server;
+    Address dial;
+    boolean listed = true;
+    /** Most recently used first, so that those in excess grow old. */
+    final Deque<ServerConnection> idle = new ArrayDeque<>();
+    final Deque<Job> waiting = new ArrayDeque<>();
+    int connecting;
+
+    Upstream(long server, Address dial) {
+        this.server = server;
+        this.dial = dial;
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/routing/Upstreams.java
@@ -0,0 +1,243 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import ottergauge.DecisionApi.ServerState;
+import ottergauge.protocol.Address;
+import ottergauge.protocol.HostList;
+import ottergauge.routing.Effect.AskLoad;
+import ottergauge.routing.Effect.CloseServer;
+import ottergauge.routing.Effect.Connect;
+import ottergauge.routing.Effect.Forward;
+
+/**
+ * The connections to all servers: each carries one job at a time, is kept while idle, and a job that finds
+ * none idle waits for a new one or for the next that comes free.
+ */
+final class Upstreams {
+
+    // Of the time after which a server closes an idle connection: sooner, so that none is closed under a
+    // request that is being written, which would end as a reset.
+    private static final double IDLE_PART = 0.75;
+
+    private final long connectTimeout;
+    private final long idleFor;
+    private final Consumer<Effect> effects;
+    private final Map<Long, Upstream> byServer = new HashMap<>();
+    private final TreeMap<Long, ServerConnection> connections = new TreeMap<>();
+    private long lastNumber;
+
+    Upstreams(long connectTimeout, long serverIdle, Consumer<Effect> effects) {
+        this.connectTimeout = connectTimeout;
+        this.idleFor = (long) (serverIdle * IDLE_PART);
+        this.effects = effects;
+    }
+
+    int open() {
+        return connections.size();
+    }
+
+    boolean knows(long server) {
+        return byServer.containsKey(server);
+    }
+
+    /** Whether a job at this server would need a new connection. */
+    boolean needsConnection(long server) {
+        return byServer.get(server).idle.isEmpty();
+    }
+
+    /** Takes a list; gives back the jobs that were waiting for servers which drain, are gone or moved. */
+    List<Job> follow(HostList list) {
+        List<Job> withdrawn = new ArrayList<>();
+        Set<Long> named = new HashSet<>();
+        for (HostList.Host host : list.hosts()) {
+            long server = ServerIds.of(host.name());
+            named.add(server);
+            if (host.state() == ServerState.GONE) {
+                remove(server, withdrawn);
+            } else {
+                update(server, host.dial(), host.state() == ServerState.UP, withdrawn);
+            }
+        }
+        if (list.whole()) {
+            new ArrayList<>(byServer.keySet()).stream().filter(server -> !named.contains(server)).sorted()
+                .forEach(server -> remove(server, withdrawn));
+        }
+        return withdrawn;
+    }
+
+    private void update(long server, Address dial, boolean usable, List<Job> withdrawn) {
+        Upstream upstream = byServer.computeIfAbsent(server, id -> new Upstream(id, dial));
+        if (!usable || !upstream.dial.equals(dial)) {
+            withdraw(upstream, withdrawn);
+        }
+        if (!upstream.dial.equals(dial)) {
+            upstream.listed = false;
+            byServer.put(server, new Upstream(server, dial));
+        }
+    }
+
+    private void remove(long server, List<Job> withdrawn) {
+        Upstream upstream = byServer.remove(server);
+        if (upstream != null) {
+            upstream.listed = false;
+            withdraw(upstream, withdrawn);
+        }
+    }
+
+    // A waiting job would be written when its connection is up, perhaps after the time that a
+    // drain allows.
+    private void withdraw(Upstream upstream, List<Job> withdrawn) {
+        withdrawn.addAll(upstream.waiting);
+        upstream.waiting.clear();
+        while (!upstream.idle.isEmpty()) {
+            close(upstream.idle.getFirst(), CloseReason.DELISTED);
+        }
+    }
+
+    /** Starts a job on an idle connection, or lets it wait for one. */
+    void start(long now, Job job) {
+        Upstream upstream = byServer.get(job.server);
+        ServerConnection idle = upstream.idle.pollFirst();
+        if (idle != null) {
+            carry(now, idle, job);
+            return;
+        }
+        upstream.waiting.add(job);
+        if (upstream.connecting < upstream.waiting.size()) {
+            ServerConnection connection = new ServerConnection(++lastNumber, upstream);
+            connections.put(connection.number, connection);
+            upstream.connecting++;
+            effects.accept(new Connect(connection.number, upstream.dial, connectTimeout));
+        }
+    }
+
+    private void carry(long now, ServerConnection connection, Job job) {
+        connection.job = job;
+        job.connection = connection;
+        effects.accept(job.isProbe() ? new AskLoad(connection.number)
+            : new Forward(connection.number, job.exchange.request, job.dueAt - now));
+    }
+
+    /** Ends a job that is not waited for any more: what carries it is closed, as the protocol says. */
+    void giveUp(Job job, CloseReason reason) {
+        if (job.connection != null) {
+            close(job.connection, reason);
+        } else if (knows(job.server)) {
+            byServer.get(job.server).waiting.remove(job);
+        }
+    }
+
+    void connected(long now, long number) {
+        ServerConnection connection = connections.get(number);
+        if (connection == null) {
+            return;
+        }
+        connection.up = true;
+        connection.upstream.connecting--;
+        rest(now, connection);
+    }
+
+    /** Gives back the job that has no connection to wait for any more. */
+    Optional<Job> connectFailed(long number) {
+        ServerConnection connection = connections.remove(number);
+        if (connection == null) {
+            return Optional.empty();
+        }
+        Upstream upstream = connection.upstream;
+        upstream.connecting--;
+        return upstream.waiting.size() > upstream.connecting ? Optional.of(upstream.waiting.poll())
+            : Optional.empty();
+    }
+
+    void written(long number) {
+        ServerConnection connection = connections.get(number);
+        if (connection != null && connection.job != null) {
+            connection.job.written = true;
+        }
+    }
+
+    /** Frees a connection whose answer has come and gives back the job that it carried. */
+    Optional<Job> answered(long now, long number, boolean reusable) {
+        ServerConnection connection = connections.get(number);
+        if (connection == null || connection.job == null) {
+            return Optional.empty();
+        }
+        Job job = connection.job;
+        connection.job = null;
+        if (reusable && job.written) {
+            rest(now, connection);
+        } else {
+            close(connection, CloseReason.NOT_REUSABLE);
+        }
+        return Optional.of(job);
+    }
+
+    /** Forgets a connection that has ended and gives back the job that it carried. */
+    Optional<Job> closed(long number) {
+        ServerConnection connection = connections.remove(number);
+        if (connection == null) {
+            return Optional.empty();
+        }
+        connection.upstream.idle.remove(connection);
+        return Optional.ofNullable(connection.job);
+    }
+
+    private void rest(long now, ServerConnection connection) {
+        Upstream upstream = connection.upstream;
+        Job next = upstream.waiting.poll();
+        if (next != null) {
+            carry(now, connection, next);
+        } else if (upstream.listed) {
+            connection.idleSince = now;
+            upstream.idle.addFirst(connection);
+        } else {
+            close(connection, CloseReason.DELISTED);
+        }
+    }
+
+    /** Closes the connections that have been idle for too long. */
+    void sweep(long now) {
+        for (ServerConnection connection : idleOldestFirst()) {
+            if (now - connection.idleSince >= idleFor) {
+                close(connection, CloseReason.IDLE);
+            }
+        }
+    }
+
+    /** Closes the connection that has been idle for longest; false if there is none. */
+    boolean closeOneIdle() {
+        List<ServerConnection> idle = idleOldestFirst();
+        if (idle.isEmpty()) {
+            return false;
+        }
+        close(idle.get(0), CloseReason.SOCKETS_SHORT);
+        return true;
+    }
+
+    private List<ServerConnection> idleOldestFirst() {
+        List<ServerConnection> idle = new ArrayList<>();
+        for (ServerConnection connection : connections.values()) {
+            if (connection.up && connection.job == null) {
+                idle.add(connection);
+            }
+        }
+        idle.sort(Comparator.comparingLong(connection -> connection.idleSince));
+        return idle;
+    }
+
+    private void close(ServerConnection connection, CloseReason reason) {
+        connections.remove(connection.number);
+        connection.upstream.idle.remove(connection);
+        effects.accept(new CloseServer(connection.number, reason));
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/routing/Watch.java
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import ottergauge.DecisionApi;
+import ottergauge.DecisionApi.ListScope;
+import ottergauge.DecisionApi.ListedServer;
+import ottergauge.DecisionApi.ServerList;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.NodeConfig;
+import ottergauge.routing.Effect.CallDiscovery;
+import ottergauge.routing.Effect.StartTimer;
+
+/** The node's copy of discovery's list: the version it has, and the chain of calls that is a watch. */
+final class Watch {
+
+    private static final long MOST_WAIT = 60_000_000;
+    // An answer sooner than this that brings nothing is not worth another call at once; the pause still lies
+    // well within the 200 ms in which a watch goes on.
+    private static final long PAUSE = 50_000;
+
+    private final NodeConfig config;
+    private final Consumer<Effect> effects;
+    private long seq;
+    private long calledAt;
+    private boolean calling;
+    private boolean answered;
+
+    Watch(NodeConfig config, Consumer<Effect> effects) {
+        this.config = config;
+        this.effects = effects;
+        seq = config.known().seq();
+    }
+
+    /** Begins a watch, unless one is on. */
+    void begin(long now) {
+        if (!calling) {
+            answered = false;
+            call(now);
+        }
+    }
+
+    /** Goes on with the watch. */
+    void call(long now) {
+        calling = true;
+        calledAt = now;
+        // A node that has neither watched nor asked for this time counts as told: a call that hangs unnoticed
+        // is found out no later.
+        effects.accept(new CallDiscovery(seq, Math.min(MOST_WAIT, config.askWithin())));
+    }
+
+    /** Takes an answer, goes on with the watch, and says what the decisions have to know of it. */
+    Optional<DecisionApi.Event> read(long now, HostList list) {
+        boolean news = list.whole() || !list.hosts().isEmpty() || !answered;
+        answered = true;
+        seq = list.seq();
+        if (!news && now - calledAt < PAUSE) {
+            effects.accept(new StartTimer(PAUSE, new Timer.NextCall()));
+        } else {
+            call(now);
+        }
+        return news ? Optional.of(listed(list, list.whole() ? ListScope.FULL : ListScope.CHANGES))
+            : Optional.empty();
+    }
+
+    void failed() {
+        calling = false;
+    }
+
+    DecisionApi.Event lastKnown() {
+        return listed(config.known(), ListScope.LAST_KNOWN);
+    }
+
+    private ServerList listed(HostList list, ListScope scope) {
+        return new ServerList(scope, list.hosts().stream().map(this::listed).toList());
+    }
+
+    private ListedServer listed(HostList.Host host) {
+        return new ListedServer(ServerIds.of(host.name()), config.zones().indexOf(host.site()),
+            config.kinds().indexOf(host.kind()), host.block(), host.state(), host.share(),
+            host.bornMs() * 1000);
+    }
+}
--- a/src/main/java/ottergauge/simhost/ConfigReader.java
+++ b/src/main/java/ottergauge/settings/SettingsReader.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package ottergauge.simhost;
+package ottergauge.settings;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -14,20 +14,20 @@
 import ottergauge.DecisionApi.Settings;
 import ottergauge.DecisionApi.Tenant;
 
-/** Translates the wire's settings object; an optional key that is missing takes the cautious value. */
-final class ConfigReader {
+/** Reads a deployment's settings object; an optional key that is missing takes the cautious value. */
+public final class SettingsReader {
 
     private final Map<String, Object> config;
 
-    private ConfigReader(Map<String, Object> config) {
+    public SettingsReader(Map<String, Object> config) {
         this.config = config;
     }
 
-    static Settings settings(Map<String, Object> config) {
-        ConfigReader root = new ConfigReader(config);
-        ConfigReader limits = root.child("ceilings");
-        ConfigReader rules = root.child("rules");
-        ConfigReader prices = root.child("penalties");
+    public static Settings settings(Map<String, Object> config) {
+        SettingsReader root = new SettingsReader(config);
+        SettingsReader limits = root.child("ceilings");
+        SettingsReader rules = root.child("rules");
+        SettingsReader prices = root.child("penalties");
         List<?> fields = root.child("reporting").list("fields");
         boolean reports = !"off".equals(root.child("reporting").text("how", "off"));
         return new Settings((int) root.number("me", 0), Math.max(1, (int) root.number("balancers", 1)),
@@ -42,11 +42,11 @@
                 rules.number("coldFrom", 0.1), rules.micros("coldMs", 30_000),
                 rules.number("tipMultiple", 1), rules.micros("fallMs", 1000)),
             new Prices(prices.number("probe", 0), prices.number("connection", 0)),
-            root.children("classes").stream().map(ConfigReader::requestClass).toList(),
-            root.children("parties").stream().map(ConfigReader::tenant).toList());
+            root.children("classes").stream().map(SettingsReader::requestClass).toList(),
+            root.children("parties").stream().map(SettingsReader::tenant).toList());
     }
 
-    private static RequestClass requestClass(ConfigReader c) {
+    private static RequestClass requestClass(SettingsReader c) {
         Repeat repeat = switch (c.text("semantics", "single_shot")) {
             case "free" -> Repeat.SAFE;
             case "guarded" -> Repeat.KEYED;
@@ -63,44 +63,44 @@
             c.flag("streamed"));
     }
 
-    private static Tenant tenant(ConfigReader t) {
+    private static Tenant tenant(SettingsReader t) {
         return new Tenant(t.text("name", ""), t.number("portion", 0), t.number("quotaPerS", 0));
     }
 
-    static List<String> names(Map<String, Object> config, String key) {
+    public static List<String> names(Map<String, Object> config, String key) {
         List<String> names = new ArrayList<>();
-        for (Object name : new ConfigReader(config).list(key)) {
+        for (Object name : new SettingsReader(config).list(key)) {
             names.add(String.valueOf(name));
         }
         return names;
     }
 
     @SuppressWarnings("unchecked")
-    private ConfigReader child(String key) {
+    public SettingsReader child(String key) {
         Object child = config.get(key);
-        return new ConfigReader(child instanceof Map<?, ?> map ? (Map<String, Object>) map : Map.of());
+        return new SettingsReader(child instanceof Map<?, ?> map ? (Map<String, Object>) map : Map.of());
     }
 
     @SuppressWarnings("unchecked")
-    private List<ConfigReader> children(String key) {
-        List<ConfigReader> children = new ArrayList<>();
+    private List<SettingsReader> children(String key) {
+        List<SettingsReader> children = new ArrayList<>();
         for (Object child : list(key)) {
             if (child instanceof Map<?, ?> map) {
-                children.add(new ConfigReader((Map<String, Object>) map));
+                children.add(new SettingsReader((Map<String, Object>) map));
             }
         }
         return children;
     }
 
-    private List<?> list(String key) {
+    public List<?> list(String key) {
         return config.get(key) instanceof List<?> list ? list : List.of();
     }
 
-    private double number(String key, double absent) {
+    public double number(String key, double absent) {
         return config.get(key) instanceof Double number ? number : absent;
     }
 
-    private long micros(String key, double absentMs) {
+    public long micros(String key, double absentMs) {
         return Math.round(number(key, absentMs) * 1000);
     }
 
@@ -108,7 +108,7 @@
         return Boolean.TRUE.equals(config.get(key));
     }
 
-    private String text(String key, String absent) {
+    public String text(String key, String absent) {
         return config.get(key) instanceof String text ? text : absent;
     }
 }
--- a/src/main/java/ottergauge/simhost/Instance.java
+++ b/src/main/java/ottergauge/simhost/Instance.java
@@ -23,6 +23,7 @@
 import ottergauge.DecisionApi.Settings;
 import ottergauge.DecisionApi.Tenant;
 import ottergauge.DecisionApi.TimerFired;
+import ottergauge.settings.SettingsReader;
 
 /** One hosted decision module, with the names of its settings resolved to indices. */
 final class Instance {
@@ -36,15 +37,15 @@
     private final List<String> kinds;
 
     Instance(long seed, Map<String, Object> config) {
-        Settings settings = ConfigReader.settings(config);
+        Settings settings = SettingsReader.settings(config);
         for (RequestClass c : settings.classes()) {
             classes.put(c.name(), classes.size());
         }
         for (Tenant t : settings.tenants()) {
             tenants.put(t.name(), tenants.size());
         }
-        zones = ConfigReader.names(config, "zones");
-        kinds = ConfigReader.names(config, "kinds");
+        zones = SettingsReader.names(config, "zones");
+        kinds = SettingsReader.names(config, "kinds");
         decide = new Decide(settings, seed);
     }
 
--- a/src/main/java/ottergauge/simhost/MessageReader.java
+++ b/src/main/java/ottergauge/simhost/MessageReader.java
@@ -6,10 +6,10 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HexFormat;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import ottergauge.DecisionApi.LoadReport;
+import ottergauge.settings.JsonTree;
 
 /** Reads batches from a JSON stream; unknown keys are skipped, and the order of keys does not matter. */
 final class MessageReader {
@@ -177,31 +177,7 @@
 
     private Map<String, Object> config() throws IOException {
         require(in.currentToken() == JsonToken.START_OBJECT, "config is an object");
-        Map<String, Object> map = new LinkedHashMap<>();
-        while (in.nextToken() != JsonToken.END_OBJECT) {
-            String key = in.currentName();
-            in.nextToken();
-            map.put(key, value());
-        }
-        return map;
-    }
-
-    private Object value() throws IOException {
-        return switch (in.currentToken()) {
-            case START_OBJECT -> config();
-            case START_ARRAY -> {
-                List<Object> list = new ArrayList<>();
-                while (in.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(value());
-                }
-                yield list;
-            }
-            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> in.getDoubleValue();
-            case VALUE_TRUE -> Boolean.TRUE;
-            case VALUE_FALSE -> Boolean.FALSE;
-            case VALUE_NULL -> null;
-            default -> in.getText();
-        };
+        return JsonTree.object(in);
     }
 
     private String text() throws IOException {
--- /dev/null
+++ b/src/main/java/ottergauge/transport/ClientSide.java
@@ -0,0 +1,152 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.transport;
+
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+import ottergauge.protocol.Address;
+import ottergauge.protocol.Headers;
+import ottergauge.protocol.ProtocolException;
+import ottergauge.protocol.RequestFields;
+import ottergauge.routing.CloseReason;
+import ottergauge.routing.Effect.CloseClient;
+import ottergauge.routing.Effect.Respond;
+import ottergauge.routing.Event;
+import ottergauge.routing.Event.AnswerWritten;
+import ottergauge.routing.Event.ClientClosed;
+import ottergauge.routing.Event.ClientConnected;
+import ottergauge.routing.Event.ClientRequest;
+import ottergauge.routing.Event.HealthAsked;
+import ottergauge.routing.Event.RequestBegan;
+import ottergauge.routing.Event.RequestRead;
+import ottergauge.routing.Event.RequestUnreadable;
+
+/** The side that clients connect to. */
+final class ClientSide {
+
+    private static final int BAD_REQUEST = 400;
+    private static final int TOO_LARGE = 413;
+    private static final int URI_TOO_LONG = 414;
+    private static final int HEADERS_TOO_LARGE = 431;
+    private static final double MICROS = 1e6;
+    // As many as a burst of clients may open before the loop comes round to accept them.
+    private static final int BACKLOG = 1024;
+
+    private final HttpServer server;
+    private final Consumer<Event> events;
+    private final Map<HttpConnection, Peer<HttpConnection>> peers = new HashMap<>();
+    private final Map<Long, HttpServerRequest> requests = new HashMap<>();
+    private long lastNumber;
+
+    ClientSide(Vertx vertx, Consumer<Event> events) {
+        this.events = events;
+        server = vertx.createHttpServer(new HttpServerOptions().setAcceptBacklog(BACKLOG)
+            .setHttp2ClearTextEnabled(false));
+        server.connectionHandler(this::connected);
+        server.requestHandler(this::take);
+        server.invalidRequestHandler(this::refuseMalformed);
+    }
+
+    Future<HttpServer> listen(Address address) {
+        return server.listen(address.port(), address.host());
+    }
+
+    private void connected(HttpConnection connection) {
+        Peer<HttpConnection> peer = new Peer<>(++lastNumber, connection);
+        peers.put(connection, peer);
+        connection.exceptionHandler(error -> peer.because(CloseReason.RESET));
+        connection.closeHandler(closed -> {
+            peers.remove(connection);
+            requests.remove(peer.number);
+            ConnectionLog.ended("client", connection.remoteAddress(), peer.reason());
+            events.accept(new ClientClosed(peer.number));
+        });
+        events.accept(new ClientConnected(peer.number));
+    }
+
+    private void take(HttpServerRequest request) {
+        Peer<HttpConnection> peer = peers.get(request.connection());
+        if (peer == null) {
+            return;
+        }
+        long client = peer.number;
+        requests.put(client, request);
+        if (request.method() == HttpMethod.GET && isHealth(request.path())) {
+            events.accept(new HealthAsked(client, Headers.READY_PATH.equals(request.path())));
+            return;
+        }
+        RequestFields fields;
+        try {
+            fields = RequestFields.read(request::getHeader);
+        } catch (ProtocolException e) {
+            events.accept(new RequestUnreadable(client, BAD_REQUEST, e.getMessage()));
+            return;
+        }
+        events.accept(new RequestBegan(client));
+        BodyReader.read(request,
+            body -> events.accept(new RequestRead(client,
+                new ClientRequest(fields, request.method().name(), request.uri(), body))),
+            () -> events.accept(new RequestUnreadable(client, TOO_LARGE, "body too large")));
+    }
+
+    private static boolean isHealth(String path) {
+        return Headers.READY_PATH.equals(path) || Headers.LIVE_PATH.equals(path);
+    }
+
+    private void refuseMalformed(HttpServerRequest request) {
+        Peer<HttpConnection> peer = peers.get(request.connection());
+        if (peer == null) {
+            return;
+        }
+        requests.put(peer.number, request);
+        Throwable cause = request.decoderResult().cause();
+        int status = cause instanceof TooLongHttpLineException ? URI_TOO_LONG
+            : cause instanceof TooLongHttpHeaderException ? HEADERS_TOO_LARGE : BAD_REQUEST;
+        peer.because(CloseReason.MALFORMED);
+        events.accept(new RequestUnreadable(peer.number, status, String.valueOf(cause)));
+    }
+
+    void respond(Respond effect) {
+        HttpServerRequest request = requests.remove(effect.client());
+        Peer<HttpConnection> peer = request == null ? null : peers.get(request.connection());
+        if (peer == null) {
+            return;
+        }
+        HttpServerResponse response = request.response().setStatusCode(effect.status());
+        if (effect.retryAfter() > 0) {
+            response.putHeader(Headers.RETRY_AFTER,
+                String.format(Locale.ROOT, "%.3f", effect.retryAfter() / MICROS));
+        }
+        if (effect.last()) {
+            response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+        }
+        response.end(Buffer.buffer(effect.body())).onComplete(written -> {
+            events.accept(new AnswerWritten(effect.client()));
+            if (effect.last()) {
+                peer.close(CloseReason.NOT_REUSABLE);
+            }
+        });
+    }
+
+    void close(CloseClient effect) {
+        for (Peer<HttpConnection> peer : peers.values()) {
+            if (peer.number == effect.client()) {
+                peer.close(effect.reason());
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/transport/Clock.java
@@ -0,0 +1,13 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.transport;
+
+/** Unix time in microseconds that only goes forward: read once, then carried on by the monotonic clock. */
+final class Clock {
+
+    private final long startedAt = System.currentTimeMillis() * 1000;
+    private final long startedNanos = System.nanoTime();
+
+    long micros() {
+        return startedAt + (System.nanoTime() - startedNanos) / 1000;
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.transport;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import ottergauge.protocol.NodeConfig;
+import ottergauge.routing.Effect;
+import ottergauge.routing.Event;
+import ottergauge.routing.Router;
+
+/** One node on sockets: brings the router every event in turn, on one thread, and carries out its effects. */
+public final class NodeServer {
+
+    private static final Logger LOG = LoggerFactory.getLogger(NodeServer.class);
+
+    private final NodeConfig config;
+    private final Clock clock = new Clock();
+    private final Vertx vertx;
+    private final Context context;
+    private final Router router;
+    private final ClientSide clients;
+    private final ServerSide servers;
+    private final DiscoverySide discovery;
+    private final Deque<Event> events = new ArrayDeque<>();
+    private final Promise<Void> ended = Promise.promise();
+    private boolean handling;
+
+    public NodeServer(NodeConfig config) {
+        this.config = config;
+        // Addresses are numbers: nothing is asked of DNS.
+        System.setProperty("vertx.disableDnsResolver", "true");
+        // One loop owns all; the pools for blocking work have nothing to do. No files: they count as memory.
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+            .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
+                .setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
+        context = vertx.getOrCreateContext();
+        router = new Router(config, this::carryOut);
+        clients = new ClientSide(vertx, this::take);
+        servers = new ServerSide(vertx, this::take);
+        discovery = new DiscoverySide(vertx, config.discovery(), this::take);
+    }
+
+    /** Starts to serve; the future says whether the address could be had. */
+    public Future<Void> start() {
+        Promise<Void> started = Promise.promise();
+        context.runOnContext(run -> {
+            router.start(clock.micros());
+            clients.listen(config.listen()).onSuccess(listening -> LOG.info("{} listens on {}", config.name(),
+                config.listen())).<Void>mapEmpty().onComplete(started);
+        });
+        return started.future();
+    }
+
+    /** Begins to stop: what has been taken is still answered. The future completes when all is. */
+    public Future<Void> stop() {
+        context.runOnContext(run -> take(new Event.StopAsked()));
+        return ended.future();
+    }
+
+    // Effects may bring events at once: each waits until the one before it has been handled whole.
+    private void take(Event event) {
+        events.add(event);
+        if (handling) {
+            return;
+        }
+        handling = true;
+        try {
+            for (Event next = events.poll(); next != null; next = events.poll()) {
+                handle(next);
+            }
+        } finally {
+            handling = false;
+        }
+    }
+
+    private void handle(Event event) {
+        try {
+            router.handle(clock.micros(), event);
+        } catch (RuntimeException e) {
+            LOG.error("an event was not handled: {}", event, e);
+        }
+    }
+
+    private void carryOut(Effect effect) {
+        if (effect instanceof Effect.Respond e) {
+            clients.respond(e);
+        } else if (effect instanceof Effect.Forward e) {
+            servers.forward(e);
+        } else if (effect instanceof Effect.AskLoad e) {
+            servers.askLoad(e);
+        } else if (effect instanceof Effect.StartTimer e) {
+            long millis = Math.max(1, (e.delay() + 999) / 1000);
+            vertx.setTimer(millis, fired -> take(new Event.TimerFired(e.timer())));
+        } else if (effect instanceof Effect.Connect e) {
+            servers.connect(e);
+        } else if (effect instanceof Effect.CloseServer e) {
+            servers.close(e);
+        } else if (effect instanceof Effect.CloseClient e) {
+            clients.close(e);
+        } else if (effect instanceof Effect.CallDiscovery e) {
+            discovery.call(e);
+        } else if (effect instanceof Effect.Exit) {
+            LOG.info("{} has answered all and ends", config.name());
+            ended.complete();
+        }
+    }
+}
--- a/src/test/java/ottergauge/ArchitectureTest.java
+++ b/src/test/java/ottergauge/ArchitectureTest.java
@@ -1,13 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge;
 
-import static com.tngtech.archunit.base.DescribedPredicate.not;
 import static com.tngtech.archunit.core.domain.JavaClass.Predicates.belongToAnyOf;
 import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
 import static com.tngtech.archunit.lang.conditions.ArchConditions.onlyDependOnClassesThat;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.fields;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
@@ -44,8 +44,46 @@
     }
 
     @Test
-    void onlyTheAdapterAndTheCommandLineUseLibraries() {
-        classes().that(not(resideInAnyPackage("ottergauge.simhost..", "ottergauge.cli..")))
-            .should(onlyDependOnClassesThat(resideInAnyPackage("java..", "ottergauge"))).check(all);
+    void theNodesLayersDependOneWay() {
+        layeredArchitecture().consideringOnlyDependenciesInAnyPackage("ottergauge..")
+            .layer("decisions").definedBy("ottergauge")
+            .layer("settings").definedBy("ottergauge.settings..")
+            .layer("simhost").definedBy("ottergauge.simhost..")
+            .layer("protocol").definedBy("ottergauge.protocol..")
+            .layer("routing").definedBy("ottergauge.routing..")
+            .layer("transport").definedBy("ottergauge.transport..")
+            .layer("program").definedBy("ottergauge.program..")
+            .whereLayer("program").mayNotBeAccessedByAnyLayer()
+            .whereLayer("transport").mayOnlyBeAccessedByLayers("program")
+            .whereLayer("simhost").mayOnlyBeAccessedByLayers("program")
+            .whereLayer("routing").mayOnlyBeAccessedByLayers("transport")
+            .whereLayer("protocol").mayOnlyBeAccessedByLayers("routing", "transport", "program")
+            .whereLayer("settings").mayOnlyBeAccessedByLayers("protocol", "simhost")
+            .check(all);
+    }
+
+    @Test
+    void eachLayerUsesItsOwnLibrariesOnly() {
+        onlyUses("ottergauge.routing..", "java.lang..", "java.util..", "java.nio.charset");
+        onlyUses("ottergauge.protocol..", "java..", "com.fasterxml.jackson.core..");
+        onlyUses("ottergauge.settings..", "java..", "com.fasterxml.jackson.core..");
+        onlyUses("ottergauge.transport..", "java..", "io.vertx.core..", "io.netty..", "org.slf4j..");
+    }
+
+    @Test
+    void valuesAndStateDoNoIo() {
+        noClasses().that(resideInAnyPackage("ottergauge.protocol..", "ottergauge.routing.."))
+            .should().accessClassesThat().resideInAnyPackage("java.net..", "java.nio.file..",
+                "java.nio.channels..")
+            .check(all);
+        noClasses().that(resideInAnyPackage("ottergauge.protocol..", "ottergauge.routing.."))
+            .should().accessClassesThat().belongToAnyOf(System.class, Thread.class).check(all);
+    }
+
+    private void onlyUses(String layer, String... packages) {
+        String[] allowed = java.util.Arrays.copyOf(packages, packages.length + 1);
+        allowed[packages.length] = "ottergauge..";
+        classes().that(resideInAnyPackage(layer)).should(onlyDependOnClassesThat(resideInAnyPackage(allowed)))
+            .check(all);
     }
 }
--- a/src/test/java/ottergauge/cli/MainTest.java
+++ b/src/test/java/ottergauge/program/MainTest.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package ottergauge.cli;
+package ottergauge.program;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -29,7 +29,7 @@
 
     @Test
     void noCommandAnUnknownCommandOrOptionGivesUsageAndTwo() {
-        for (String[] args : new String[][] {{}, {"serve"}, {"--fast"}, {"simhost", "--fast"}}) {
+        for (String[] args : new String[][] {{}, {"serve"}, {"fly"}, {"--fast"}, {"simhost", "--fast"}}) {
             err.getBuffer().setLength(0);
             assertEquals(2, execute(args), String.join(" ", args));
             assertTrue(err.toString().contains("Usage:"), err.toString());
