--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+# SPDX-License-Identifier: Apache-2.0
+.PHONY: build test lint run clean
+
+build:
+	mvn -q -DskipTests package
+
+test:
+	mvn -B verify
+
+lint:
+	mvn -q -B checkstyle:check test -Dtest=ArchitectureTest
+
+# One node by the line of deploy/balancer.toml: make run CONFIG=/path/to/config.json
+run: build
+	@test -n "$(CONFIG)" || { echo "usage: make run CONFIG=FILE"; exit 2; }
+	BALANCER_CONFIG="$(CONFIG)" /bin/sh -c "$$(sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
+
+clean:
+	mvn -q clean
--- a/src/main/java/ottergauge/protocol/RequestFields.java
+++ b/src/main/java/ottergauge/protocol/RequestFields.java
@@ -11,6 +11,7 @@
 
     // Past this a time to wait is no time to wait: an hour.
     private static final long MOST_EXPIRY_MS = 3_600_000;
+    private static final int DELETE = 0x7f;
 
     /** Reads the fields through a look-up of header values, which gives null for one that is absent. */
     public static RequestFields read(UnaryOperator<String> header) throws ProtocolException {
@@ -22,8 +23,17 @@
         if (requestClass == null) {
             throw new ProtocolException("no " + Headers.REQUEST_CLASS);
         }
+        String key = header.apply(Headers.IDEMPOTENCY_KEY);
+        if (!isVisible(traceId) || !isVisible(requestClass) || key != null && !isVisible(key)) {
+            throw new ProtocolException("a field that goes on holds other than visible characters");
+        }
         return new RequestFields(traceId, requestClass, expiry(header.apply(Headers.EXPIRES_IN_MS)),
-            "1".equals(header.apply(Headers.SECOND_TRY)), header.apply(Headers.IDEMPOTENCY_KEY));
+            "1".equals(header.apply(Headers.SECOND_TRY)), key);
+    }
+
+    /** Whether text can be written on as it came: anything else a library may refuse or write otherwise. */
+    public static boolean isVisible(String text) {
+        return text.chars().allMatch(c -> c > ' ' && c < DELETE);
     }
 
     private static long expiry(String text) throws ProtocolException {
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -23,7 +23,7 @@
     record RequestRead(long client, ClientRequest request) implements Event { }
 
     /** What came is no request that the node takes; the status says why. */
-    record RequestUnreadable(long client, int status, String why) implements Event { }
+    record RequestUnreadable(long client, int status) implements Event { }
 
     /** A client asked how the node is: whether it takes new clients, or only whether it lives. */
     record HealthAsked(long client, boolean readiness) implements Event { }
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -271,8 +272,10 @@
     // ---- Discovery ----------------------------------------------------------------------------------
 
     private void listRead(Event.ListRead e) {
-        upstreams.follow(e.list()).forEach(job -> ended(job, Result.NOT_SENT));
+        List<Job> withdrawn = upstreams.follow(e.list());
+        // The list first: told only of a withdrawn attempt, the module would send it to the same server.
         watch.read(now, e.list()).ifPresent(learnt::add);
+        withdrawn.forEach(job -> ended(job, Result.NOT_SENT));
     }
 
     // ---- Time and the end ---------------------------------------------------------------------------
--- a/src/main/java/ottergauge/routing/Upstreams.java
+++ b/src/main/java/ottergauge/routing/Upstreams.java
@@ -94,8 +94,7 @@
         }
     }
 
-    // A waiting job would be written when its connection is up, perhaps after the time that a
-    // drain allows.
+    // A waiting job would be written when its connection is up, perhaps later than a drain allows.
     private void withdraw(Upstream upstream, List<Job> withdrawn) {
         withdrawn.addAll(upstream.waiting);
         upstream.waiting.clear();
--- a/src/main/java/ottergauge/transport/BodyReader.java
+++ b/src/main/java/ottergauge/transport/BodyReader.java
@@ -15,25 +15,25 @@
     private BodyReader() {
     }
 
-    /** Reads a stream to its end; {@code whenTooLarge} runs at once, and then nothing else does. */
+    /**
+     * Reads a stream to its end. What is over the limit is let go as it comes: answered before its end, a
+     * sender that is still writing would see its connection break and not the answer.
+     */
     static void read(ReadStream<Buffer> stream, Consumer<byte[]> whenRead, Runnable whenTooLarge) {
         BodyReader reader = new BodyReader();
-        stream.handler(part -> reader.take(part, whenTooLarge));
+        stream.handler(reader::take);
         stream.endHandler(end -> {
-            if (!reader.tooLarge) {
+            if (reader.tooLarge) {
+                whenTooLarge.run();
+            } else {
                 whenRead.accept(reader.body.getBytes());
             }
         });
     }
 
-    private void take(Buffer part, Runnable whenTooLarge) {
-        if (tooLarge) {
-            return;
-        }
-        if (body.length() + part.length() > Headers.MOST_BODY) {
-            tooLarge = true;
-            whenTooLarge.run();
-        } else {
+    private void take(Buffer part) {
+        tooLarge |= body.length() + part.length() > Headers.MOST_BODY;
+        if (!tooLarge) {
             body.appendBuffer(part);
         }
     }
--- a/src/main/java/ottergauge/transport/ClientSide.java
+++ b/src/main/java/ottergauge/transport/ClientSide.java
@@ -17,6 +17,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import ottergauge.protocol.Address;
 import ottergauge.protocol.Headers;
 import ottergauge.protocol.ProtocolException;
@@ -37,7 +39,9 @@
 /** The side that clients connect to. */
 final class ClientSide {
 
+    private static final Logger LOG = LoggerFactory.getLogger(ClientSide.class);
     private static final int BAD_REQUEST = 400;
+    private static final int METHOD_NOT_ALLOWED = 405;
     private static final int TOO_LARGE = 413;
     private static final int URI_TOO_LONG = 414;
     private static final int HEADERS_TOO_LARGE = 431;
@@ -48,12 +52,14 @@
     private final HttpServer server;
     private final Consumer<Event> events;
     private final Map<HttpConnection, Peer<HttpConnection>> peers = new HashMap<>();
+    private final Map<Long, Peer<HttpConnection>> byNumber = new HashMap<>();
     private final Map<Long, HttpServerRequest> requests = new HashMap<>();
     private long lastNumber;
 
     ClientSide(Vertx vertx, Consumer<Event> events) {
         this.events = events;
         server = vertx.createHttpServer(new HttpServerOptions().setAcceptBacklog(BACKLOG)
+            .setHandle100ContinueAutomatically(true)
             .setHttp2ClearTextEnabled(false));
         server.connectionHandler(this::connected);
         server.requestHandler(this::take);
@@ -67,9 +73,11 @@
     private void connected(HttpConnection connection) {
         Peer<HttpConnection> peer = new Peer<>(++lastNumber, connection);
         peers.put(connection, peer);
+        byNumber.put(peer.number, peer);
         connection.exceptionHandler(error -> peer.because(CloseReason.RESET));
         connection.closeHandler(closed -> {
             peers.remove(connection);
+            byNumber.remove(peer.number);
             requests.remove(peer.number);
             ConnectionLog.ended("client", connection.remoteAddress(), peer.reason());
             events.accept(new ClientClosed(peer.number));
@@ -84,26 +92,30 @@
         }
         long client = peer.number;
         requests.put(client, request);
-        if (request.method() == HttpMethod.GET && isHealth(request.path())) {
-            events.accept(new HealthAsked(client, Headers.READY_PATH.equals(request.path())));
+        String uri = request.uri();
+        boolean get = request.method() == HttpMethod.GET;
+        if (get && (Headers.READY_PATH.equals(uri) || Headers.LIVE_PATH.equals(uri))) {
+            events.accept(new HealthAsked(client, Headers.READY_PATH.equals(uri)));
             return;
         }
         RequestFields fields;
         try {
             fields = RequestFields.read(request::getHeader);
         } catch (ProtocolException e) {
-            events.accept(new RequestUnreadable(client, BAD_REQUEST, e.getMessage()));
+            refuse(peer, BAD_REQUEST, e.getMessage());
             return;
         }
-        events.accept(new RequestBegan(client));
-        BodyReader.read(request,
-            body -> events.accept(new RequestRead(client,
-                new ClientRequest(fields, request.method().name(), request.uri(), body))),
-            () -> events.accept(new RequestUnreadable(client, TOO_LARGE, "body too large")));
-    }
-
-    private static boolean isHealth(String path) {
-        return Headers.READY_PATH.equals(path) || Headers.LIVE_PATH.equals(path);
+        if (!get && request.method() != HttpMethod.POST) {
+            refuse(peer, METHOD_NOT_ALLOWED, request.method().name());
+        } else if (!RequestFields.isVisible(uri)) {
+            refuse(peer, BAD_REQUEST, "the path holds other than visible characters");
+        } else {
+            events.accept(new RequestBegan(client));
+            BodyReader.read(request,
+                body -> events.accept(new RequestRead(client,
+                    new ClientRequest(fields, request.method().name(), uri, body))),
+                () -> refuse(peer, TOO_LARGE, "the body is too large"));
+        }
     }
 
     private void refuseMalformed(HttpServerRequest request) {
@@ -113,16 +125,21 @@
         }
         requests.put(peer.number, request);
         Throwable cause = request.decoderResult().cause();
-        int status = cause instanceof TooLongHttpLineException ? URI_TOO_LONG
-            : cause instanceof TooLongHttpHeaderException ? HEADERS_TOO_LARGE : BAD_REQUEST;
+        refuse(peer, cause instanceof TooLongHttpLineException ? URI_TOO_LONG
+            : cause instanceof TooLongHttpHeaderException ? HEADERS_TOO_LARGE : BAD_REQUEST,
+            String.valueOf(cause));
+    }
+
+    private void refuse(Peer<HttpConnection> peer, int status, String why) {
+        LOG.warn("no request from {}, answered {}: {}", peer.connection.remoteAddress(), status, why);
         peer.because(CloseReason.MALFORMED);
-        events.accept(new RequestUnreadable(peer.number, status, String.valueOf(cause)));
+        events.accept(new RequestUnreadable(peer.number, status));
     }
 
     void respond(Respond effect) {
         HttpServerRequest request = requests.remove(effect.client());
-        Peer<HttpConnection> peer = request == null ? null : peers.get(request.connection());
-        if (peer == null) {
+        Peer<HttpConnection> peer = byNumber.get(effect.client());
+        if (request == null || peer == null) {
             return;
         }
         HttpServerResponse response = request.response().setStatusCode(effect.status());
@@ -142,11 +159,9 @@
     }
 
     void close(CloseClient effect) {
-        for (Peer<HttpConnection> peer : peers.values()) {
-            if (peer.number == effect.client()) {
-                peer.close(effect.reason());
-                return;
-            }
+        Peer<HttpConnection> peer = byNumber.get(effect.client());
+        if (peer != null) {
+            peer.close(effect.reason());
         }
     }
 }
--- a/src/main/java/ottergauge/transport/ServerSide.java
+++ b/src/main/java/ottergauge/transport/ServerSide.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.transport;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
@@ -11,6 +12,7 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeoutException;
@@ -61,8 +63,7 @@
     }
 
     private static boolean isTimeout(Throwable failure) {
-        return failure instanceof io.netty.channel.ConnectTimeoutException
-            || failure instanceof TimeoutException;
+        return failure instanceof ConnectTimeoutException || failure instanceof TimeoutException;
     }
 
     private void connected(long number, HttpClientConnection connection) {
@@ -88,20 +89,19 @@
         if (fields.idempotencyKey() != null) {
             options.putHeader(Headers.IDEMPOTENCY_KEY, fields.idempotencyKey());
         }
-        exchange(effect.connection(), options, request.body());
+        exchange(effect.connection(), options, request.body(), false);
     }
 
     void askLoad(AskLoad effect) {
         exchange(effect.connection(),
-            new RequestOptions().setMethod(HttpMethod.GET).setURI(Headers.STATS_PATH), new byte[0]);
+            new RequestOptions().setMethod(HttpMethod.GET).setURI(Headers.STATS_PATH), new byte[0], true);
     }
 
-    private void exchange(long number, RequestOptions options, byte[] body) {
+    private void exchange(long number, RequestOptions options, byte[] body, boolean probe) {
         Peer<HttpClientConnection> peer = peers.get(number);
         if (peer == null) {
             return;
         }
-        boolean probe = options.getURI().equals(Headers.STATS_PATH);
         peer.connection.request(options).onComplete(request -> {
             request.response().onComplete(response -> read(peer, response, probe),
                 broken -> peer.close(CloseReason.MALFORMED));
@@ -118,7 +118,7 @@
         String report = response.getHeader(Headers.LOAD);
         response.exceptionHandler(broken -> peer.close(CloseReason.RESET));
         BodyReader.read(response, body -> {
-            String load = report == null && probe ? new String(body, java.nio.charset.StandardCharsets.UTF_8)
+            String load = report == null && probe ? new String(body, StandardCharsets.UTF_8)
                 : report;
             events.accept(new AnswerRead(peer.number, new ServerAnswer(response.statusCode(), neverRan,
                 LoadReports.read(load), body, reusable)));
--- /dev/null
+++ b/src/test/java/ottergauge/program/NodeIT.java
@@ -0,0 +1,261 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static ottergauge.protocol.TestConfig.host;
+import static ottergauge.protocol.TestConfig.list;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import ottergauge.program.RunningNode.Client;
+import ottergauge.protocol.TestConfig;
+
+/** Starts the built program as the platform does and speaks to it over loopback. */
+@Timeout(120)
+class NodeIT {
+
+    private static final String NOWHERE = "127.0.0.1:1";
+
+    @TempDir
+    private Path folder;
+
+    private RunningNode nodeBefore(StubServer server) throws Exception {
+        return RunningNode.ready(folder, new TestConfig().knows(host("s-1", server.address(), "in_service")),
+            NOWHERE);
+    }
+
+    @Test
+    void aRequestAndItsAnswerPassUnchangedOverKeptConnections() throws Exception {
+        try (StubServer server = StubServer.obedient(); RunningNode node = nodeBefore(server);
+             Client client = node.client()) {
+            for (int i = 0; i < 2; i++) {
+                HttpMessage answer = client.ask(Client.post("pay", "ok&n=1", "amount=7"));
+                assertEquals(200, answer.status());
+                assertEquals("served amount=7", answer.body());
+                HttpMessage seen = server.requests.poll(5, TimeUnit.SECONDS);
+                assertEquals("POST /api?do=ok&n=1 HTTP/1.1", seen.startLine());
+                assertEquals("amount=7", seen.body());
+                assertEquals("9b1f03aa5c7e2d41", seen.headers().get("x-trace-id"));
+                assertEquals("5c0f", seen.headers().get("idempotency-key"));
+                int wait = Integer.parseInt(seen.headers().get("x-expires-in-ms"));
+                assertTrue(wait > 0 && wait <= 900, "waits " + wait);
+            }
+            assertTrue(server.ended.isEmpty());
+            HttpMessage read =
+                client.ask("GET /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: 1\r\nX-Qos: read\r\n\r\n");
+            assertEquals(200, read.status());
+            assertNull(server.requests.poll(5, TimeUnit.SECONDS).headers().get("content-length"));
+        }
+    }
+
+    /** An unsafe request: what may have run is sent once and fails, what never ran may be refused. */
+    @ParameterizedTest
+    @CsvSource({"error,502,once", "break,502,once", "silence,502,once", "busy,503,any"})
+    void whatComesBackDecidesTheAnswer(String wish, int status, String sent) throws Exception {
+        try (StubServer server = StubServer.obedient(); RunningNode node = nodeBefore(server);
+             Client client = node.client()) {
+            assertEquals(200, client.ask(Client.post("grant", "ok", "")).status());
+            assertEquals(status, client.ask(Client.post("grant", wish, "")).status());
+            assertEquals(200, client.ask(Client.post("grant", "ok", "")).status());
+            long times = server.requests.stream().filter(r -> r.target().endsWith("do=" + wish)).count();
+            assertTrue(times == 1 || "any".equals(sent), wish + " was sent " + times + " times");
+        }
+    }
+
+    @Test
+    void anAttemptGivenUpHasItsConnectionClosed() throws Exception {
+        try (StubServer server = StubServer.obedient(); RunningNode node = nodeBefore(server)) {
+            try (Client client = node.client()) {
+                client.write(Client.post("pay", "silence", ""));
+                assertNotNull(server.requests.poll(10, TimeUnit.SECONDS));
+            }
+            assertNotNull(server.ended.poll(10, TimeUnit.SECONDS), "the client left and nothing was closed");
+            node.awaitLog("side=server");
+            node.awaitLog("code=CANCELLED");
+        }
+    }
+
+    @Test
+    void noServerMeansARefusal() throws Exception {
+        int nobody = RunningNode.freePort();
+        try (RunningNode node = RunningNode.ready(folder,
+                 new TestConfig().knows(host("s-1", "127.0.0.1:" + nobody, "in_service")), NOWHERE);
+             Client client = node.client()) {
+            HttpMessage answer = client.ask(Client.post("grant", "ok", ""));
+            assertEquals(503, answer.status());
+            assertEquals("0.600", answer.headers().get("retry-after"));
+            node.awaitLog("code=CONNECT_FAILED");
+        }
+    }
+
+    /** Each tilde stands for the end of a line, LARGE for 70,000 characters. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "400|NONSENSE~~",
+        "400|GET /api HTTP/1.1~Host: x~~",
+        "400|GET /api HTTP/1.1~Host: x~X-Trace-Id: 1 2~X-Qos: read~~",
+        "400|GET /api?q=\u00e9 HTTP/1.1~Host: x~X-Trace-Id: 1~X-Qos: read~~",
+        "400|GET /api HTTP/1.1~Host: x~X-Trace-Id: 1~X-Qos: read~X-Expires-In-Ms: x~~",
+        "405|DELETE /api HTTP/1.1~Host: x~X-Trace-Id: 1~X-Qos: read~~",
+        "413|POST /api HTTP/1.1~Host: x~X-Trace-Id: 1~X-Qos: read~Content-Length: 70000~~LARGE",
+        "414|GET /LARGE HTTP/1.1~Host: x~~",
+        "431|GET /api HTTP/1.1~Host: LARGE~~"})
+    void badInputGetsAStatusAndItsConnectionClosed(int status, String request) throws Exception {
+        try (StubServer server = StubServer.obedient(); RunningNode node = nodeBefore(server)) {
+            try (Client client = node.client()) {
+                client.write(request.replace("~", "\r\n").replace("LARGE", "x".repeat(70_000)));
+                assertEquals(status, client.read().status());
+                assertTrue(client.atEnd());
+            }
+            try (Client client = node.client()) {
+                assertEquals(400, client.ask(Client.post("unheard-of", "ok", "")).status());
+                assertEquals(200, client.ask(Client.post("read", "ok", "")).status());
+            }
+        }
+    }
+
+    @Test
+    void clientsThatStopHalfwayHurtNobody() throws Exception {
+        try (StubServer server = StubServer.obedient(); RunningNode node = nodeBefore(server);
+             Client slow = node.client(); Client client = node.client()) {
+            try (Client gone = node.client()) {
+                gone.write("POST /api HTTP/1.1\r\nHost: x\r\nContent-Le");
+            }
+            slow.write(Client.post("pay", "ok", "12345678").replace("12345678", "123"));
+            assertEquals(200, client.ask(Client.post("read", "ok", "")).status());
+            assertTrue(slow.atEnd(), "half a request was kept for ever");
+            node.awaitLog("code=SLOW_REQUEST");
+            assertEquals(1, server.requests.size());
+        }
+    }
+
+    @Test
+    void discoveryIsWatchedAndFollowed() throws Exception {
+        try (StubServer first = StubServer.obedient(); StubServer second = StubServer.obedient()) {
+            CountDownLatch change = new CountDownLatch(1);
+            StubServer discovery = new StubServer((request, connection) -> {
+                if (request.target().contains("after=41&")) {
+                    change.await();
+                    connection.getOutputStream().write(HttpMessage.response(200, "", list(42, false,
+                        host("s-1", first.address(), "terminating"),
+                        host("s-2", second.address(), "in_service"))));
+                }
+                // Later versions do not come: the watch hangs.
+                return true;
+            });
+            try (discovery; RunningNode node = RunningNode.ready(folder, new TestConfig()
+                     .knows(host("s-1", first.address(), "in_service")), discovery.address());
+                 Client client = node.client()) {
+                assertEquals(200, client.ask(Client.post("read", "ok", "")).status());
+                assertEquals(1, first.requests.size());
+                change.countDown();
+                assertTrue(discovery.requests.poll(10, TimeUnit.SECONDS).target()
+                    .startsWith("/registry/instances?after=41&wait_ms="));
+                assertTrue(discovery.requests.poll(10, TimeUnit.SECONDS).target().contains("after=42&"));
+                assertEquals(200, client.ask(Client.post("read", "ok", "")).status());
+                assertEquals(1, first.requests.size());
+                assertEquals(1, second.requests.size());
+            }
+        }
+    }
+
+    @Test
+    void discoverysNonsenseIsPassedOverAndAskedAgain() throws Exception {
+        StubServer discovery = new StubServer((request, connection) -> {
+            connection.getOutputStream().write(HttpMessage.response(200, "", "{\"seq\":42"));
+            return true;
+        });
+        try (discovery; StubServer server = StubServer.obedient();
+             RunningNode node = RunningNode.ready(folder, new TestConfig()
+                 .knows(host("s-1", server.address(), "in_service")), discovery.address());
+             Client client = node.client()) {
+            assertNotNull(discovery.requests.poll(10, TimeUnit.SECONDS));
+            assertNotNull(discovery.requests.poll(10, TimeUnit.SECONDS));
+            assertEquals(200, client.ask(Client.post("read", "ok", "")).status());
+        }
+    }
+
+    @Test
+    void aNodeToldToStopAnswersWhatItHasTakenAndEnds() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        StubServer server = new StubServer((request, connection) -> {
+            if (request.target().endsWith("wait")) {
+                release.await();
+            }
+            connection.getOutputStream().write(HttpMessage.response(200, "", "served"));
+            return true;
+        });
+        try (server; RunningNode node = nodeBefore(server); Client idle = node.client();
+             Client waiting = node.client()) {
+            assertEquals(200, idle.ask(Client.post("read", "ok", "")).status());
+            waiting.write(Client.post("grant", "wait", ""));
+            assertNotNull(server.requests.poll(10, TimeUnit.SECONDS));
+            assertNotNull(server.requests.poll(10, TimeUnit.SECONDS));
+            node.process.toHandle().destroy();
+            node.await("not ready", () -> {
+                try (Client client = node.client()) {
+                    return client.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 503;
+                } catch (java.io.IOException e) {
+                    return false;
+                }
+            });
+            try (Client late = node.client()) {
+                HttpMessage answer = late.ask(Client.post("read", "ok", ""));
+                assertEquals(200, answer.status());
+                assertEquals("close", answer.headers().get("connection"));
+                assertTrue(late.atEnd());
+            }
+            assertTrue(node.process.isAlive());
+            release.countDown();
+            assertEquals(200, waiting.read().status());
+            assertTrue(idle.atEnd());
+            node.exitCode();
+            assertTrue(node.log().contains("has answered all and ends"), node.log());
+        }
+    }
+
+    @Test
+    void aBadConfigurationOrATakenAddressEndsTheProgramWithOne() throws Exception {
+        try (RunningNode node = RunningNode.start(folder, "{\"settings\":", 0)) {
+            assertEquals(1, node.exitCode());
+            assertTrue(node.log().contains("bad configuration"), node.log());
+        }
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String listen = "127.0.0.1:" + taken.getLocalPort();
+            String config = new TestConfig().at(listen, NOWHERE).json();
+            try (RunningNode node = RunningNode.start(folder, config, 0)) {
+                assertEquals(1, node.exitCode());
+                assertTrue(node.log().contains("cannot listen on " + listen), node.log());
+            }
+        }
+    }
+
+    @Test
+    void itListensOnItsOwnAddressOnly() throws Exception {
+        int port = RunningNode.freePort();
+        String config = new TestConfig().at("127.0.0.2:" + port, NOWHERE).json();
+        try (RunningNode node = RunningNode.start(folder, config, port)) {
+            node.awaitLog("listens on 127.0.0.2:" + port);
+            boolean reached;
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                reached = socket.isConnected();
+            } catch (java.net.ConnectException e) {
+                reached = false;
+            }
+            assertFalse(reached, "another address is served too");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/program/RunningNode.java
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.program;
+
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import ottergauge.protocol.TestConfig;
+
+/** The program, started by the line {@code run} of deploy/balancer.toml, with its log kept in a file. */
+final class RunningNode implements AutoCloseable {
+
+    private static final long PATIENCE_S = 30;
+
+    final Process process;
+    private final int port;
+    private final Path log;
+
+    private RunningNode(Process process, int port, Path log) {
+        this.process = process;
+        this.port = port;
+        this.log = log;
+    }
+
+    static int freePort() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return probe.getLocalPort();
+        }
+    }
+
+    /** Starts a node and waits until it is ready. */
+    static RunningNode ready(Path folder, TestConfig config, String discovery) throws Exception {
+        int port = freePort();
+        RunningNode node = start(folder, config.at("127.0.0.1:" + port, discovery).json(), port);
+        node.await("ready", () -> {
+            try (Client client = node.client()) {
+                return client.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        return node;
+    }
+
+    static RunningNode start(Path folder, String config, int port) throws IOException {
+        Path file = Files.writeString(folder.resolve("config.json"), config);
+        Path log = folder.resolve("log");
+        Matcher run = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE)
+            .matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        if (!run.find()) {
+            return fail("no run line");
+        }
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1)).redirectErrorStream(true)
+            .redirectOutput(log.toFile());
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        return new RunningNode(builder.start(), port, log);
+    }
+
+    /** Waits for something to become true, looking often. */
+    void await(String what, BooleanSupplier condition) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > until || !process.isAlive()) {
+                fail("not " + what + "; log:\n" + log());
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    String log() {
+        try {
+            return Files.readString(log);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    void awaitLog(String text) throws Exception {
+        await("logged: " + text, () -> log().contains(text));
+    }
+
+    Client client() throws IOException {
+        return new Client(new Socket(InetAddress.getLoopbackAddress(), port));
+    }
+
+    int exitCode() throws InterruptedException {
+        if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
+            fail("still running; log:\n" + log());
+        }
+        return process.exitValue();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    /** A client's connection. */
+    record Client(Socket socket) implements AutoCloseable {
+
+        void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        /** Reads an answer; null if the node has closed the connection. */
+        HttpMessage read() throws IOException {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_S));
+            return HttpMessage.read(socket.getInputStream());
+        }
+
+        HttpMessage ask(String request) throws IOException {
+            write(request);
+            HttpMessage answer = read();
+            if (answer == null) {
+                throw new IOException("closed with no answer");
+            }
+            return answer;
+        }
+
+        /** A request of a class that asks its server to do this. */
+        static String post(String requestClass, String wish, String body) {
+            return "POST /api?do=" + wish + " HTTP/1.1\r\nHost: backend.local\r\n"
+                + "X-Trace-Id: 9b1f03aa5c7e2d41\r\n"
+                + "X-Qos: " + requestClass + "\r\nX-Expires-In-Ms: 900\r\nIdempotency-Key: 5c0f\r\n"
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        }
+
+        boolean atEnd() throws IOException {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_S));
+            try {
+                return socket.getInputStream().read() < 0;
+            } catch (SocketException e) {
+                // A connection that is closed with something unread ends as a reset.
+                return true;
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/protocol/CodecsTest.java
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import ottergauge.DecisionApi.LoadReport;
+import ottergauge.DecisionApi.Repeat;
+import ottergauge.DecisionApi.Result;
+import ottergauge.DecisionApi.ServerState;
+
+class CodecsTest {
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"200,false,SERVED", "200,true,SERVED", "500,false,ERROR", "500,true,ERROR",
+        "503,true,REJECTED", "504,true,REJECTED", "503,false,ERROR", "504,false,ERROR",
+        "404,false,ERROR", "204,false,ERROR",
+        "302,true,ERROR"})
+    void onlyMarked503And504ProveThatNothingRan(int status, boolean neverRan, Result expected) {
+        assertEquals(expected, Outcomes.of(status, neverRan));
+    }
+
+    @Test
+    void aLoadReportIsReadUnderEitherSpellingOfItsFields() {
+        LoadReport expected = new LoadReport(7, 2, 0.61, Double.NaN, Double.NaN);
+        assertEquals(expected, LoadReports.read("TEXT inflight=7, queue=2, util=0.61"));
+        assertEquals(expected, LoadReports.read("TEXT outstanding=7,backlog=2, x0=9, utilization=0.61"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "TEXT", "TEXT inflight", "TEXT inflight=many", "TEXT inflight=-1",
+        "TEXT inflight=Infinity", "JSON {\"inflight\":7}", "inflight=7"})
+    void whatIsNoReportSaysNothing(String text) {
+        assertEquals(LoadReport.NONE, LoadReports.read(text));
+    }
+
+    @Test
+    void aRequestsFieldsAreReadAndItsTimeIsBounded() throws ProtocolException {
+        Map<String, String> headers = Map.of("X-Trace-Id", "9b1f", "X-Qos", "pay", "X-Expires-In-Ms", "480",
+            "X-Second-Try", "1", "Idempotency-Key", "5c0f");
+        assertEquals(new RequestFields("9b1f", "pay", 480, true, "5c0f"), RequestFields.read(headers::get));
+        RequestFields bare = RequestFields.read(Map.of("X-Trace-Id", "9b1f", "X-Qos", "pay")::get);
+        assertEquals(-1, bare.expiresInMs());
+        assertNull(bare.idempotencyKey());
+        assertEquals(0, expiry("-5"));
+        assertEquals(3_600_000, expiry(Long.toString(Long.MAX_VALUE)));
+    }
+
+    private static long expiry(String text) throws ProtocolException {
+        return RequestFields.read(
+            Map.of("X-Trace-Id", "9b1f", "X-Qos", "pay", "X-Expires-In-Ms", text)::get).expiresInMs();
+    }
+
+    @Test
+    void aRequestWithoutAnIdOrClassOrWithNoNumberForItsTimeIsRefused() {
+        assertThrows(ProtocolException.class, () -> RequestFields.read(Map.of("X-Qos", "pay")::get));
+        assertThrows(ProtocolException.class, () -> RequestFields.read(Map.of("X-Trace-Id", "9b1f")::get));
+        assertThrows(ProtocolException.class, () -> expiry("soon"));
+    }
+
+    @Test
+    void aListIsReadWithItsServers() throws ProtocolException {
+        HostList list = HostList.read(bytes(TestConfig.list(43, false,
+            TestConfig.host("s-1", "10.1.0.18:3000", "terminating"))));
+        assertEquals(43, list.seq());
+        assertEquals(new HostList.Host("s-1", new Address("10.1.0.18", 3000), "a", "m2", 3,
+            ServerState.DRAINING, 1.0, 0), list.hosts().get(0));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "[]", "{\"seq\":1", "{\"seq\":1}", "{\"hosts\":[]}",
+        "{\"seq\":1,\"hosts\":[7]}", "{\"seq\":1,\"hosts\":[{}]}",
+        "{\"seq\":1,\"hosts\":[{\"host\":\"s\",\"dial\":\"nowhere\",\"health\":\"in_service\"}]}",
+        "{\"seq\":1,\"hosts\":[{\"host\":\"s\",\"dial\":\"10.0.0.1:99999\",\"health\":\"in_service\"}]}",
+        "{\"seq\":1,\"hosts\":[{\"host\":\"s\",\"dial\":\"10.0.0.1:80\",\"health\":\"fine\"}]}"})
+    void whatIsNoListIsRefusedWhole(String text) {
+        assertThrows(ProtocolException.class, () -> HostList.read(bytes(text)));
+    }
+
+    @Test
+    void theConfigurationCarriesSettingsAndTheNodesOwnFigures() {
+        NodeConfig config = new TestConfig()
+            .knows(TestConfig.host("s-1", "10.1.0.18:3000", "in_service")).build();
+        assertEquals("n1", config.name());
+        assertEquals(new Address("127.0.0.1", 3000), config.listen());
+        assertEquals(0x8c1f30d27a5be964L, config.seed());
+        assertEquals(200_000, config.connectTimeout());
+        assertEquals(10_000_000, config.connectionIdle());
+        assertEquals(10_000_000, config.askWithin());
+        assertEquals(41, config.known().seq());
+        assertEquals(Repeat.UNSAFE, config.settings().classes().get(2).repeat());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "[]", "{", "{\"settings\":{}}", "{\"listen\":\"127.0.0.1:1\"}"})
+    void whatIsNoConfigurationIsRefused(String text) {
+        assertThrows(ProtocolException.class, () -> NodeConfig.read(bytes(text)));
+    }
+
+    @Test
+    void theMessageSaysWhatIsWrong() {
+        String bad = new TestConfig().at("nowhere", "127.0.0.1:1").json();
+        ProtocolException e = assertThrows(ProtocolException.class, () -> NodeConfig.read(bytes(bad)));
+        assertTrue(e.getMessage().contains("nowhere"), e.getMessage());
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/protocol/TestConfig.java
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.protocol;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Builds a node's configuration as the platform would write it. */
+public final class TestConfig {
+
+    private final List<String> hosts = new ArrayList<>();
+    private String listen = "127.0.0.1:3000";
+    private String discovery = "127.0.0.1:8500";
+    private int sockets = 1024;
+    private int maxAttempts = 5;
+    private long idleMs = 10_000;
+    private boolean probes;
+
+    /** One entry of a list. */
+    public static String host(String name, String dial, String health) {
+        return """
+            {"host":"%s","dial":"%s","site":"a","class":"m2","block":3,"health":"%s",
+             "share":1.0,"born_ms":0}"""
+            .formatted(name, dial, health);
+    }
+
+    /** A list as discovery answers it. */
+    public static String list(long seq, boolean whole, String... entries) {
+        return "{\"seq\":%d,\"whole\":%b,\"hosts\":[%s]}".formatted(seq, whole, String.join(",", entries));
+    }
+
+    public TestConfig knows(String... entries) {
+        hosts.addAll(List.of(entries));
+        return this;
+    }
+
+    public TestConfig at(String listenAddress, String discoveryAddress) {
+        listen = listenAddress;
+        discovery = discoveryAddress;
+        return this;
+    }
+
+    public TestConfig sockets(int most) {
+        sockets = most;
+        return this;
+    }
+
+    public TestConfig attempts(int most) {
+        maxAttempts = most;
+        return this;
+    }
+
+    public TestConfig probes() {
+        probes = true;
+        return this;
+    }
+
+    public TestConfig idleMs(long ms) {
+        idleMs = ms;
+        return this;
+    }
+
+    public String json() {
+        return """
+            {"name":"n1","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
+             "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
+             "known":%s,
+             "settings":{"me":0,"balancers":1,"zone":"a","zones":["a","b"],"kinds":["m1","m2"],
+              "registryMode":"on_request","clients":{"marksRetry":true},
+              "reporting":{"how":"%s","fields":["outstanding"]},
+              "ceilings":{"probes":%b,"cancel":true,"retryAfter":true,"maxAttempts":%d,
+               "maxRetryAfterMs":600.0,"connectTimeoutMs":200.0,"connIdleMs":%d},
+              "rules":{"answerSlackMs":5.0,"stopSendingWithinMs":250.0,"coldFrom":0.3,"coldMs":9000.0,
+               "tipMultiple":3.0,"fallMs":1000.0,"mustAskInMs":10000.0},
+              "penalties":{"probe":0.002},
+              "classes":[
+               {"name":"read","semantics":"free","aimMs":800.0,"hardLimitMs":1000.0,"value":1.0},
+               {"name":"pay","semantics":"guarded","group":"zone","windowMs":800.0,"aimMs":800.0,
+                "hardLimitMs":1000.0,"value":1.0},
+               {"name":"grant","semantics":"single_shot","aimMs":800.0,"hardLimitMs":1000.0,"value":1.0}],
+              "parties":[]}}
+            """.formatted(listen, discovery, sockets, list(41, true, hosts.toArray(new String[0])),
+            probes ? "inline" : "off", probes, maxAttempts, idleMs);
+    }
+
+    public NodeConfig build() {
+        try {
+            return NodeConfig.read(json().getBytes(StandardCharsets.UTF_8));
+        } catch (ProtocolException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/routing/RouterDriver.java
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import ottergauge.DecisionApi.LoadReport;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.ProtocolException;
+import ottergauge.protocol.RequestFields;
+import ottergauge.protocol.TestConfig;
+import ottergauge.routing.Effect.Connect;
+import ottergauge.routing.Effect.Forward;
+import ottergauge.routing.Effect.Respond;
+import ottergauge.routing.Effect.StartTimer;
+import ottergauge.routing.Event.ClientRequest;
+import ottergauge.routing.Event.ServerAnswer;
+
+/** Drives a router with no socket: gives it events, keeps its timers, and hands out its effects in order. */
+final class RouterDriver {
+
+    private record Due(long at, long order, Timer timer) { }
+
+    private final List<Effect> effects = new ArrayList<>();
+    private final PriorityQueue<Due> timers =
+        new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private final Router router;
+    private long now = 1_000_000_000_000L;
+    private long order;
+    private long lastClient;
+
+    RouterDriver(TestConfig config) {
+        router = new Router(config.build(), this::asked);
+        router.start(now);
+    }
+
+    private void asked(Effect effect) {
+        if (effect instanceof StartTimer timer) {
+            timers.add(new Due(now + timer.delay(), order++, timer.timer()));
+        } else {
+            effects.add(effect);
+        }
+    }
+
+    void tell(Event event) {
+        router.handle(now, event);
+    }
+
+    void pass(long ms) {
+        long until = now + ms * 1000;
+        while (!timers.isEmpty() && timers.peek().at() <= until) {
+            Due due = timers.poll();
+            now = due.at();
+            tell(new Event.TimerFired(due.timer()));
+        }
+        now = until;
+    }
+
+    /** Takes out the first effect of a kind; there must be one. */
+    <E extends Effect> E expect(Class<E> kind) {
+        for (Effect effect : effects) {
+            if (kind.isInstance(effect)) {
+                effects.remove(effect);
+                return kind.cast(effect);
+            }
+        }
+        return fail("no " + kind.getSimpleName() + " in " + effects);
+    }
+
+    void expectNo(Class<? extends Effect> kind) {
+        assertEquals(List.of(), effects.stream().filter(kind::isInstance).toList());
+    }
+
+    long client() {
+        tell(new Event.ClientConnected(++lastClient));
+        return lastClient;
+    }
+
+    /** A new client sends a request of this class. */
+    long request(String requestClass) {
+        long client = client();
+        request(client, requestClass, 1000);
+        return client;
+    }
+
+    void request(long client, String requestClass, long expiresInMs) {
+        tell(new Event.RequestBegan(client));
+        tell(new Event.RequestRead(client, new ClientRequest(
+            new RequestFields("id-" + client, requestClass, expiresInMs, false, "key"), "POST", "/api?x=1",
+            "ask".getBytes(StandardCharsets.UTF_8))));
+    }
+
+    /** Lets the next connection that was asked for come up and gives back what is written to it. */
+    Forward connectNext() {
+        tell(new Event.ServerConnected(expect(Connect.class).connection()));
+        return expect(Forward.class);
+    }
+
+    void refuseNext() {
+        tell(new Event.ConnectFailed(expect(Connect.class).connection()));
+    }
+
+    void written(Forward forward) {
+        tell(new Event.RequestWritten(forward.connection()));
+    }
+
+    void answer(Forward forward, int status, boolean neverRan) {
+        answer(forward, status, neverRan, true);
+    }
+
+    void answer(Forward forward, int status, boolean neverRan, boolean reusable) {
+        tell(new Event.AnswerRead(forward.connection(), new ServerAnswer(status, neverRan, LoadReport.NONE,
+            "answer".getBytes(StandardCharsets.UTF_8), reusable)));
+    }
+
+    /** Writes and answers a request. */
+    void serve(Forward forward) {
+        written(forward);
+        answer(forward, 200, false);
+    }
+
+    int status(long client) {
+        Respond respond = expect(Respond.class);
+        assertEquals(client, respond.client());
+        tell(new Event.AnswerWritten(client));
+        return respond.status();
+    }
+
+    void list(long seq, boolean whole, String... entries) {
+        try {
+            tell(new Event.ListRead(HostList.read(
+                TestConfig.list(seq, whole, entries).getBytes(StandardCharsets.UTF_8))));
+        } catch (ProtocolException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/routing/RouterTest.java
@@ -0,0 +1,460 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static ottergauge.protocol.TestConfig.host;
+
+import java.nio.charset.StandardCharsets;
+import java.util.function.BiConsumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Named;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import ottergauge.protocol.RequestFields;
+import ottergauge.protocol.TestConfig;
+import ottergauge.routing.Effect.AskLoad;
+import ottergauge.routing.Effect.CallDiscovery;
+import ottergauge.routing.Effect.CloseClient;
+import ottergauge.routing.Effect.CloseServer;
+import ottergauge.routing.Effect.Connect;
+import ottergauge.routing.Effect.Exit;
+import ottergauge.routing.Effect.Forward;
+import ottergauge.routing.Effect.Respond;
+
+class RouterTest {
+
+    private static final String ONE = host("s-1", "10.0.0.1:80", "in_service");
+    private static final String TWO = host("s-2", "10.0.0.2:80", "in_service");
+
+    private static RouterDriver one() {
+        return new RouterDriver(new TestConfig().knows(ONE));
+    }
+
+    private static RouterDriver two() {
+        return new RouterDriver(new TestConfig().knows(ONE, TWO));
+    }
+
+    // ---- The ordinary path --------------------------------------------------------------------------
+
+    @Test
+    void aRequestGoesOnUnchangedAndItsAnswerComesBackUnchanged() {
+        RouterDriver node = one();
+        long client = node.request("read");
+        Forward forward = node.connectNext();
+        assertEquals("/api?x=1", forward.request().uri());
+        assertEquals("POST", forward.request().method());
+        assertEquals("ask", new String(forward.request().body(), StandardCharsets.UTF_8));
+        assertTrue(forward.waits() > 0 && forward.waits() <= 1_000_000, "waits " + forward.waits());
+        node.serve(forward);
+        Respond respond = node.expect(Respond.class);
+        assertEquals(client, respond.client());
+        assertEquals(200, respond.status());
+        assertArrayEquals("answer".getBytes(StandardCharsets.UTF_8), respond.body());
+        assertFalse(respond.last());
+    }
+
+    @Test
+    void aConnectionIsUsedAgainUnlessItsServerForbids() {
+        RouterDriver node = one();
+        node.request("read");
+        Forward first = node.connectNext();
+        node.serve(first);
+        node.request("read");
+        Forward second = node.expect(Forward.class);
+        assertEquals(first.connection(), second.connection());
+        node.written(second);
+        node.answer(second, 200, false, false);
+        assertEquals(CloseReason.NOT_REUSABLE, node.expect(CloseServer.class).reason());
+        node.request("read");
+        assertNotEquals(first.connection(), node.expect(Connect.class).connection());
+    }
+
+    @Test
+    void aConnectionThatComesFreeIsTakenByWhatWaitsForANewOne() {
+        RouterDriver node = one();
+        node.request("read");
+        Forward first = node.connectNext();
+        node.written(first);
+        node.request("read");
+        Connect slow = node.expect(Connect.class);
+        node.answer(first, 200, false);
+        assertEquals(first.connection(), node.expect(Forward.class).connection());
+        node.tell(new Event.ServerConnected(slow.connection()));
+        node.expectNo(Forward.class);
+    }
+
+    @Test
+    void aTimeToWaitCountsFromTheFirstByteAndIsTheClassesWhereNoneIsNamed() {
+        RouterDriver node = one();
+        long client = node.client();
+        node.tell(new Event.RequestBegan(client));
+        node.pass(300);
+        node.request(client, "read", -1);
+        assertEquals(1_000_000, forwarded(node, 1_000_000), 300_000);
+        RouterDriver other = new RouterDriver(new TestConfig());
+        long late = other.client();
+        other.tell(new Event.RequestBegan(late));
+        other.pass(300);
+        other.tell(new Event.RequestRead(late, new Event.ClientRequest(
+            new RequestFields("id", "read", 200, false, null), "GET", "/api", new byte[0])));
+        // Its time was over before it had come whole: it is answered at once.
+        assertEquals(503, other.status(late));
+    }
+
+    private static long forwarded(RouterDriver node, long most) {
+        Forward forward = node.connectNext();
+        assertTrue(forward.waits() <= most, "waits " + forward.waits());
+        return forward.waits();
+    }
+
+    // ---- What comes back, and whether it has run ----------------------------------------------------
+
+    /** The rows of the protocol's table of outcomes that prove that an attempt never ran. */
+    static Stream<Arguments> neverRan() {
+        return Stream.of(
+            row("503 marked", (node, f) -> {
+                node.written(f);
+                node.answer(f, 503, true);
+            }),
+            row("504 marked", (node, f) -> {
+                node.written(f);
+                node.answer(f, 504, true);
+            }),
+            row("broken before the last byte was written",
+                (node, f) -> node.tell(new Event.ServerClosed(f.connection()))));
+    }
+
+    /** The rows after which it may have run. */
+    static Stream<Arguments> mayHaveRun() {
+        return Stream.of(
+            row("500", (node, f) -> {
+                node.written(f);
+                node.answer(f, 500, false);
+            }),
+            row("503 with no mark", (node, f) -> {
+                node.written(f);
+                node.answer(f, 503, false);
+            }),
+            row("broken after the last byte was written", (node, f) -> {
+                node.written(f);
+                node.tell(new Event.ServerClosed(f.connection()));
+            }),
+            row("nothing", (node, f) -> {
+                node.written(f);
+                node.pass(1000);
+            }));
+    }
+
+    private static Arguments row(String name, BiConsumer<RouterDriver, Forward> what) {
+        return Arguments.of(Named.of(name, what));
+    }
+
+    @ParameterizedTest
+    @MethodSource("neverRan")
+    void anUnsafeRequestThatNeverRanIsSentElsewhere(BiConsumer<RouterDriver, Forward> what) {
+        RouterDriver node = two();
+        long client = node.request("grant");
+        what.accept(node, node.connectNext());
+        node.expectNo(Respond.class);
+        node.serve(node.connectNext());
+        assertEquals(200, node.status(client));
+    }
+
+    @ParameterizedTest
+    @MethodSource("mayHaveRun")
+    void anUnsafeRequestThatMayHaveRunIsNotSentAgainAndFails(BiConsumer<RouterDriver, Forward> what) {
+        RouterDriver node = two();
+        long client = node.request("grant");
+        what.accept(node, node.connectNext());
+        node.expectNo(Connect.class);
+        node.expectNo(Forward.class);
+        assertEquals(502, node.status(client));
+    }
+
+    @ParameterizedTest
+    @MethodSource("mayHaveRun")
+    void soItIsOnAConnectionThatIsUsedAgain(BiConsumer<RouterDriver, Forward> what) {
+        RouterDriver node = one();
+        node.request("grant");
+        node.serve(node.connectNext());
+        node.expect(Respond.class);
+        long client = node.request("grant");
+        what.accept(node, node.expect(Forward.class));
+        assertEquals(502, node.status(client));
+    }
+
+    @Test
+    void aConnectionThatIsRefusedProvesThatNothingRan() {
+        RouterDriver node = two();
+        long client = node.request("grant");
+        node.refuseNext();
+        node.serve(node.connectNext());
+        assertEquals(200, node.status(client));
+    }
+
+    @Test
+    void aConnectionThatNeverComesUpProvesThatNothingRan() {
+        RouterDriver node = one();
+        long client = node.request("grant");
+        node.expect(Connect.class);
+        node.pass(1000);
+        assertEquals(503, node.status(client));
+    }
+
+    @Test
+    void anAnswerBeforeTheRequestWasWrittenEndsTheConnection() {
+        RouterDriver node = one();
+        node.request("read");
+        node.answer(node.connectNext(), 500, false);
+        assertEquals(CloseReason.NOT_REUSABLE, node.expect(CloseServer.class).reason());
+    }
+
+    // ---- One final answer, nothing after it ---------------------------------------------------------
+
+    @Test
+    void givingUpClosesTheConnectionAndAnswersAtOnce() {
+        RouterDriver node = one();
+        long client = node.request("grant");
+        Forward forward = node.connectNext();
+        node.written(forward);
+        node.pass(799);
+        assertEquals(new CloseServer(forward.connection(), CloseReason.TIMED_OUT),
+            node.expect(CloseServer.class));
+        assertEquals(502, node.status(client));
+        node.answer(forward, 200, false);
+        node.tell(new Event.ServerClosed(forward.connection()));
+        node.expectNo(Respond.class);
+    }
+
+    @Test
+    void aClientThatGoesAwayHasItsAttemptClosedAndGetsNothing() {
+        RouterDriver node = one();
+        long client = node.request("read");
+        Forward forward = node.connectNext();
+        node.written(forward);
+        node.tell(new Event.ClientClosed(client));
+        assertEquals(new CloseServer(forward.connection(), CloseReason.CANCELLED),
+            node.expect(CloseServer.class));
+        node.pass(2000);
+        node.expectNo(Respond.class);
+        node.expectNo(Forward.class);
+    }
+
+    @Test
+    void aClientThatGoesAwayBeforeItsAttemptIsWrittenHasNothingWritten() {
+        RouterDriver node = one();
+        long client = node.request("read");
+        Connect connect = node.expect(Connect.class);
+        node.tell(new Event.ClientClosed(client));
+        node.tell(new Event.ServerConnected(connect.connection()));
+        node.expectNo(Forward.class);
+    }
+
+    @Test
+    void anUnknownClassIsABadRequest() {
+        RouterDriver node = one();
+        long client = node.request("unheard-of");
+        assertEquals(400, node.status(client));
+        node.expectNo(Connect.class);
+    }
+
+    @Test
+    void whatIsNoRequestIsAnsweredAndItsConnectionClosed() {
+        RouterDriver node = one();
+        long client = node.client();
+        node.tell(new Event.RequestUnreadable(client, 413));
+        Respond respond = node.expect(Respond.class);
+        assertEquals(413, respond.status());
+        assertTrue(respond.last());
+    }
+
+    @Test
+    void aRequestThatIsBegunAndNotFinishedIsClosed() {
+        RouterDriver node = one();
+        long client = node.client();
+        node.tell(new Event.RequestBegan(client));
+        node.pass(3000);
+        assertEquals(new CloseClient(client, CloseReason.SLOW_REQUEST), node.expect(CloseClient.class));
+    }
+
+    // ---- The list and drains ------------------------------------------------------------------------
+
+    @Test
+    void whatWaitsForADrainingServersConnectionGoesElsewhere() {
+        RouterDriver node = one();
+        long client = node.request("grant");
+        Connect connect = node.expect(Connect.class);
+        node.list(42, false, host("s-1", "10.0.0.1:80", "terminating"), TWO);
+        assertEquals("10.0.0.2:80", node.expect(Connect.class).address().toString());
+        node.tell(new Event.ServerConnected(connect.connection()));
+        node.expectNo(Forward.class);
+        node.expectNo(Respond.class);
+        assertTrue(client > 0);
+    }
+
+    @Test
+    void aServerThatLeavesTheListHasItsConnectionsClosedWhenTheyAreFree() {
+        RouterDriver node = two();
+        node.request("read");
+        Forward busy = node.connectNext();
+        node.written(busy);
+        node.list(42, true);
+        node.expectNo(CloseServer.class);
+        node.answer(busy, 200, false);
+        assertEquals(200, node.expect(Respond.class).status());
+        assertEquals(CloseReason.DELISTED, node.expect(CloseServer.class).reason());
+    }
+
+    @Test
+    void aServerThatMovesIsReachedAtItsNewAddress() {
+        RouterDriver node = one();
+        node.request("read");
+        node.serve(node.connectNext());
+        node.list(42, false, host("s-1", "10.0.0.9:80", "in_service"));
+        assertEquals(CloseReason.DELISTED, node.expect(CloseServer.class).reason());
+        node.request("read");
+        assertEquals("10.0.0.9:80", node.expect(Connect.class).address().toString());
+    }
+
+    // ---- Discovery ----------------------------------------------------------------------------------
+
+    private static RouterDriver watching() {
+        RouterDriver node = one();
+        node.pass(300);
+        return node;
+    }
+
+    @Test
+    void aWatchBeginsAtTheKnownVersionAndGoesOnAtOnce() {
+        RouterDriver node = watching();
+        CallDiscovery first = node.expect(CallDiscovery.class);
+        assertEquals(41, first.after());
+        assertEquals(10_000_000, first.waits());
+        node.pass(5000);
+        node.list(43, false, TWO);
+        assertEquals(43, node.expect(CallDiscovery.class).after());
+        node.expectNo(CallDiscovery.class);
+    }
+
+    @Test
+    void answersThatBringNothingAreNotAskedForWithoutAPause() {
+        RouterDriver node = watching();
+        node.expect(CallDiscovery.class);
+        node.list(41, false);
+        node.expect(CallDiscovery.class);
+        node.list(41, false);
+        node.expectNo(CallDiscovery.class);
+        node.pass(199);
+        node.expect(CallDiscovery.class);
+    }
+
+    @Test
+    void afterAFailedCallTheNextOneWaits() {
+        RouterDriver node = watching();
+        node.expect(CallDiscovery.class);
+        node.tell(new Event.ListCallFailed());
+        node.expectNo(CallDiscovery.class);
+        node.pass(1000);
+        node.expect(CallDiscovery.class);
+        node.expectNo(CallDiscovery.class);
+    }
+
+    // ---- Idle connections and sockets ---------------------------------------------------------------
+
+    @Test
+    void anIdleConnectionIsClosedWellBeforeItsServerWould() {
+        RouterDriver node = one();
+        node.request("read");
+        node.serve(node.connectNext());
+        node.pass(7000);
+        node.expectNo(CloseServer.class);
+        node.pass(2000);
+        assertEquals(CloseReason.IDLE, node.expect(CloseServer.class).reason());
+    }
+
+    @Test
+    void shortOfSocketsTheLongestIdleConnectionGoesFirst() {
+        RouterDriver node = new RouterDriver(new TestConfig().knows(ONE).sockets(64 + 3));
+        node.request("read");
+        node.serve(node.connectNext());
+        node.status(1);
+        long second = node.client();
+        node.expectNo(CloseServer.class);
+        node.client();
+        assertEquals(CloseReason.SOCKETS_SHORT, node.expect(CloseServer.class).reason());
+        node.request(second, "read", 1000);
+        assertEquals(new CloseClient(1, CloseReason.SOCKETS_SHORT), node.expect(CloseClient.class));
+        node.serve(node.connectNext());
+        assertEquals(200, node.status(second));
+    }
+
+    @Test
+    void withNoSocketAtAllNothingIsOpenedAndTheRequestIsRefused() {
+        RouterDriver node = new RouterDriver(new TestConfig().knows(ONE).sockets(64 + 1).attempts(1));
+        long client = node.request("grant");
+        node.expectNo(Connect.class);
+        assertEquals(503, node.status(client));
+    }
+
+    // ---- Probes -------------------------------------------------------------------------------------
+
+    @Test
+    void aProbeThatIsNotAnsweredIsGivenUp() {
+        RouterDriver node = new RouterDriver(new TestConfig().knows(ONE).probes());
+        node.request("read");
+        Connect connect = node.expect(Connect.class);
+        node.tell(new Event.ServerConnected(connect.connection()));
+        assertEquals(connect.connection(), node.expect(AskLoad.class).connection());
+        node.tell(new Event.RequestWritten(connect.connection()));
+        node.pass(250);
+        assertEquals(new CloseServer(connect.connection(), CloseReason.TIMED_OUT),
+            node.expect(CloseServer.class));
+    }
+
+    // ---- Stopping -----------------------------------------------------------------------------------
+
+    @Test
+    void aNodeToldToStopTakesWhatComesAnswersAllAndEnds() {
+        RouterDriver node = one();
+        long idle = node.client();
+        long taken = node.request("read");
+        Forward forward = node.connectNext();
+        node.written(forward);
+        node.tell(new Event.StopAsked());
+        long asking = node.client();
+        node.tell(new Event.HealthAsked(asking, true));
+        assertEquals(503, node.status(asking));
+        node.tell(new Event.ClientClosed(asking));
+        node.pass(400);
+        long late = node.request("read");
+        node.serve(node.connectNext());
+        Respond respond = node.expect(Respond.class);
+        assertEquals(late, respond.client());
+        assertEquals(200, respond.status());
+        assertTrue(respond.last());
+        node.tell(new Event.ClientClosed(late));
+        node.expectNo(CloseClient.class);
+        node.pass(200);
+        assertEquals(new CloseClient(idle, CloseReason.STOPPING), node.expect(CloseClient.class));
+        node.expectNo(Exit.class);
+        node.answer(forward, 200, false);
+        assertEquals(200, node.status(taken));
+        node.expectNo(Exit.class);
+        node.tell(new Event.ClientClosed(taken));
+        node.expect(Exit.class);
+    }
+
+    @Test
+    void aNodeThatRunsIsReady() {
+        RouterDriver node = one();
+        long client = node.client();
+        node.tell(new Event.HealthAsked(client, true));
+        assertEquals(200, node.status(client));
+    }
+}
