Node: content types pass, late idle clients do not keep it from ending, log lines put right

Tests: aClientThatComesLateAndSendsNothingDoesNotKeepTheNodeFromEnding, aCallThatDiscoveryLeavesHangingIsClosedAndMadeAgain.

--- a/src/main/java/ottergauge/routing/Clients.java
+++ b/src/main/java/ottergauge/routing/Clients.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import ottergauge.protocol.Content;
 import ottergauge.routing.Effect.CloseClient;
+import ottergauge.routing.Effect.NotTaken;
 import ottergauge.routing.Effect.Respond;
 
 /** The clients' connections and what each is doing. */
@@ -68,16 +70,22 @@
     }
 
     /** Answers what the connection carries, if it is still there. */
-    void respond(long number, int status, long retryAfter, byte[] body, boolean close) {
+    void respond(long number, int status, long retryAfter, Content content, boolean close) {
         Client client = clients.get(number);
         if (client != null) {
             client.readingSince = -1;
             client.exchange = null;
             client.answering = true;
-            effects.accept(new Respond(number, status, retryAfter, body, close || stopping));
+            effects.accept(new Respond(number, status, retryAfter, content, close || stopping));
         }
     }
 
+    /** Answers what is no request that the node takes. */
+    void reject(long number, int status, String why, boolean close) {
+        effects.accept(new NotTaken(number, status, why));
+        respond(number, status, 0, Content.NONE, close);
+    }
+
     void answerWritten(long now, long number) {
         Client client = clients.get(number);
         if (client != null) {
--- a/src/main/java/ottergauge/routing/Effect.java
+++ b/src/main/java/ottergauge/routing/Effect.java
@@ -2,13 +2,18 @@
 package ottergauge.routing;
 
 import ottergauge.protocol.Address;
+import ottergauge.protocol.Content;
 import ottergauge.routing.Event.ClientRequest;
 
 /** Something the transport is to do. Spans are microseconds. */
 public sealed interface Effect {
 
-    /** A final answer; {@code last} closes the connection after it, {@code retryAfter} of 0 is no advice. */
-    record Respond(long client, int status, long retryAfter, byte[] body, boolean last) implements Effect { }
+    /** A final answer; {@code retryAfter} of 0 is no advice, {@code last} closes the connection after it. */
+    record Respond(long client, int status, long retryAfter, Content content, boolean last)
+        implements Effect { }
+
+    /** Tells on-call staff why a client's message was not taken. */
+    record NotTaken(long client, int status, String why) implements Effect { }
 
     record CloseClient(long client, CloseReason reason) implements Effect { }
 
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -2,17 +2,19 @@
 package ottergauge.routing;
 
 import ottergauge.DecisionApi.LoadReport;
+import ottergauge.protocol.Content;
 import ottergauge.protocol.HostList;
 import ottergauge.protocol.RequestFields;
 
 /** Something that happened at the node's edge. Connections are known by the numbers given to them. */
 public sealed interface Event {
 
-    /** A request as it came; method, path and body go on unchanged. */
-    record ClientRequest(RequestFields fields, String method, String uri, byte[] body) { }
+    /** A request as it came; method, path and content go on unchanged. */
+    record ClientRequest(RequestFields fields, String method, String uri, Content content) { }
 
     /** A server's whole answer; {@code reusable} says that its connection may carry another request. */
-    record ServerAnswer(int status, boolean neverRan, LoadReport report, byte[] body, boolean reusable) { }
+    record ServerAnswer(int status, boolean neverRan, LoadReport report, Content content,
+                        boolean reusable) { }
 
     record ClientConnected(long client) implements Event { }
 
@@ -23,7 +25,7 @@
     record RequestRead(long client, ClientRequest request) implements Event { }
 
     /** What came is no request that the node takes; the status says why. */
-    record RequestUnreadable(long client, int status) implements Event { }
+    record RequestUnreadable(long client, int status, String why) implements Event { }
 
     /** A client asked how the node is: whether it takes new clients, or only whether it lives. */
     record HealthAsked(long client, boolean readiness) implements Event { }
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -18,6 +18,7 @@
 import ottergauge.DecisionApi.RequestArrived;
 import ottergauge.DecisionApi.RequestClass;
 import ottergauge.DecisionApi.Result;
+import ottergauge.protocol.Content;
 import ottergauge.protocol.NodeConfig;
 import ottergauge.protocol.Outcomes;
 import ottergauge.routing.Effect.Exit;
@@ -36,7 +37,6 @@
     private static final int BAD_REQUEST = 400;
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
-    private static final byte[] NOTHING = {};
     // Descriptors that are no connections of clients or servers: the program's own files, standard streams,
     // selector, listener and discovery, and what the operating system has not yet finished closing.
     private static final int RESERVE = 64;
@@ -123,9 +123,9 @@
             watch.failed();
             learnt.add(new ListFailed());
         } else if (event instanceof Event.HealthAsked e) {
-            clients.respond(e.client(), e.readiness() && stopping ? UNAVAILABLE : OK, 0, NOTHING, false);
+            clients.respond(e.client(), e.readiness() && stopping ? UNAVAILABLE : OK, 0, Content.NONE, false);
         } else if (event instanceof Event.RequestUnreadable e) {
-            clients.respond(e.client(), e.status(), 0, NOTHING, true);
+            clients.reject(e.client(), e.status(), e.why(), true);
         } else if (event instanceof Event.StopAsked) {
             stop();
         }
@@ -138,7 +138,8 @@
     private void requestRead(RequestRead e) {
         Integer requestClass = classes.get(e.request().fields().requestClass());
         if (requestClass == null) {
-            clients.respond(e.client(), BAD_REQUEST, 0, NOTHING, false);
+            clients.reject(e.client(), BAD_REQUEST,
+                "unknown class " + e.request().fields().requestClass(), false);
             return;
         }
         long wait = e.request().fields().expiresInMs() * 1000;
@@ -154,11 +155,11 @@
             e.request().fields().secondTry()));
     }
 
-    private void answer(String id, int status, long retryAfter, byte[] body) {
+    private void answer(String id, int status, long retryAfter, Content content) {
         Exchange exchange = exchanges.get(id);
         if (exchange != null && !exchange.over) {
             over(exchange);
-            clients.respond(exchange.client, status, retryAfter, body, false);
+            clients.respond(exchange.client, status, retryAfter, content, false);
         }
     }
 
@@ -237,7 +238,7 @@
     private void ended(Job job, ServerAnswer answer) {
         Result result = Outcomes.of(answer.status(), answer.neverRan());
         if (!job.isProbe() && result == Result.SERVED) {
-            answer(job.exchange.id, OK, 0, answer.body());
+            answer(job.exchange.id, OK, 0, answer.content());
         }
         ended(job, result, answer.report());
     }
@@ -293,6 +294,10 @@
         } else {
             upstreams.sweep(now);
             clients.sweep(now);
+            if (frontQuiet) {
+                // A client that connects this late and sends nothing would keep the node from ending.
+                clients.closeIdle(CloseReason.STOPPING);
+            }
             effects.accept(new StartTimer(SWEEP_EVERY, timer));
         }
     }
@@ -333,9 +338,9 @@
         } else if (action instanceof DecisionApi.Cancel a) {
             cancel(a);
         } else if (action instanceof DecisionApi.Refuse a) {
-            answer(a.id(), UNAVAILABLE, a.retryAfter(), NOTHING);
+            answer(a.id(), UNAVAILABLE, a.retryAfter(), Content.NONE);
         } else if (action instanceof DecisionApi.Fail a) {
-            answer(a.id(), BAD_GATEWAY, 0, NOTHING);
+            answer(a.id(), BAD_GATEWAY, 0, Content.NONE);
         } else if (action instanceof DecisionApi.Subscribe) {
             watch.begin(now);
         }
--- a/src/main/java/ottergauge/transport/ClientSide.java
+++ b/src/main/java/ottergauge/transport/ClientSide.java
@@ -20,11 +20,13 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import ottergauge.protocol.Address;
+import ottergauge.protocol.Content;
 import ottergauge.protocol.Headers;
 import ottergauge.protocol.ProtocolException;
 import ottergauge.protocol.RequestFields;
 import ottergauge.routing.CloseReason;
 import ottergauge.routing.Effect.CloseClient;
+import ottergauge.routing.Effect.NotTaken;
 import ottergauge.routing.Effect.Respond;
 import ottergauge.routing.Event;
 import ottergauge.routing.Event.AnswerWritten;
@@ -112,8 +114,9 @@
         } else {
             events.accept(new RequestBegan(client));
             BodyReader.read(request,
-                body -> events.accept(new RequestRead(client,
-                    new ClientRequest(fields, request.method().name(), uri, body))),
+                body -> events.accept(new RequestRead(client, new ClientRequest(fields,
+                    request.method().name(), uri,
+                    new Content(request.getHeader(HttpHeaders.CONTENT_TYPE), body)))),
                 () -> refuse(peer, TOO_LARGE, "the body is too large"));
         }
     }
@@ -131,9 +134,15 @@
     }
 
     private void refuse(Peer<HttpConnection> peer, int status, String why) {
-        LOG.warn("no request from {}, answered {}: {}", peer.connection.remoteAddress(), status, why);
         peer.because(CloseReason.MALFORMED);
-        events.accept(new RequestUnreadable(peer.number, status));
+        events.accept(new RequestUnreadable(peer.number, status, why));
+    }
+
+    void log(NotTaken effect) {
+        Peer<HttpConnection> peer = byNumber.get(effect.client());
+        LOG.warn("no request from {}, answered {}: {}",
+            peer == null ? "a client that has gone" : peer.connection.remoteAddress(), effect.status(),
+            effect.why());
     }
 
     void respond(Respond effect) {
@@ -150,7 +159,10 @@
         if (effect.last()) {
             response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
         }
-        response.end(Buffer.buffer(effect.body())).onComplete(written -> {
+        if (effect.content().type() != null) {
+            response.putHeader(HttpHeaders.CONTENT_TYPE, effect.content().type());
+        }
+        response.end(Buffer.buffer(effect.content().bytes())).onComplete(written -> {
             events.accept(new AnswerWritten(effect.client()));
             if (effect.last()) {
                 peer.close(CloseReason.NOT_REUSABLE);
--- a/src/main/java/ottergauge/transport/DiscoverySide.java
+++ b/src/main/java/ottergauge/transport/DiscoverySide.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -40,9 +41,13 @@
         this.events = events;
         client = vertx.httpClientBuilder().with(new HttpClientOptions().setHttp2ClearTextUpgrade(false))
             .with(new PoolOptions().setHttp1MaxSize(1))
-            .withConnectHandler(connection -> connection.closeHandler(closed ->
-                ConnectionLog.ended("discovery", address, CloseReason.PEER_CLOSED)))
-            .build();
+            .withConnectHandler(this::connected).build();
+    }
+
+    private void connected(HttpConnection connection) {
+        Peer<HttpConnection> peer = new Peer<>(0, connection);
+        connection.exceptionHandler(error -> peer.because(CloseReason.RESET));
+        connection.closeHandler(closed -> ConnectionLog.ended("discovery", address, peer.reason()));
     }
 
     void call(CallDiscovery effect) {
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -12,6 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import ottergauge.protocol.NodeConfig;
+import ottergauge.routing.CloseReason;
 import ottergauge.routing.Effect;
 import ottergauge.routing.Event;
 import ottergauge.routing.Router;
@@ -61,7 +62,10 @@
 
     /** Begins to stop: what has been taken is still answered. The future completes when all is. */
     public Future<Void> stop() {
-        context.runOnContext(run -> take(new Event.StopAsked()));
+        context.runOnContext(run -> {
+            LOG.info("{} was told to stop", config.name());
+            take(new Event.StopAsked());
+        });
         return ended.future();
     }
 
@@ -89,7 +93,22 @@
         }
     }
 
+    // The router is in the middle of an event: an effect that fails may not tear it. The connection that it
+    // was for is closed, which tells the router.
     private void carryOut(Effect effect) {
+        try {
+            perform(effect);
+        } catch (RuntimeException e) {
+            LOG.error("{} could not be carried out", effect, e);
+            if (effect instanceof Effect.Forward f) {
+                servers.close(new Effect.CloseServer(f.connection(), CloseReason.MALFORMED));
+            } else if (effect instanceof Effect.Respond r) {
+                clients.close(new Effect.CloseClient(r.client(), CloseReason.MALFORMED));
+            }
+        }
+    }
+
+    private void perform(Effect effect) {
         if (effect instanceof Effect.Respond e) {
             clients.respond(e);
         } else if (effect instanceof Effect.Forward e) {
@@ -107,6 +126,8 @@
             clients.close(e);
         } else if (effect instanceof Effect.CallDiscovery e) {
             discovery.call(e);
+        } else if (effect instanceof Effect.NotTaken e) {
+            clients.log(e);
         } else if (effect instanceof Effect.Exit) {
             LOG.info("{} has answered all and ends", config.name());
             ended.complete();
--- a/src/main/java/ottergauge/transport/ServerSide.java
+++ b/src/main/java/ottergauge/transport/ServerSide.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import ottergauge.protocol.Content;
 import ottergauge.protocol.Headers;
 import ottergauge.protocol.LoadReports;
 import ottergauge.protocol.RequestFields;
@@ -89,12 +90,16 @@
         if (fields.idempotencyKey() != null) {
             options.putHeader(Headers.IDEMPOTENCY_KEY, fields.idempotencyKey());
         }
-        exchange(effect.connection(), options, request.body(), false);
+        if (request.content().type() != null) {
+            options.putHeader(HttpHeaders.CONTENT_TYPE, request.content().type());
+        }
+        exchange(effect.connection(), options, request.content().bytes(), false);
     }
 
     void askLoad(AskLoad effect) {
         exchange(effect.connection(),
-            new RequestOptions().setMethod(HttpMethod.GET).setURI(Headers.STATS_PATH), new byte[0], true);
+            new RequestOptions().setMethod(HttpMethod.GET).setURI(Headers.STATS_PATH),
+            Content.NONE.bytes(), true);
     }
 
     private void exchange(long number, RequestOptions options, byte[] body, boolean probe) {
@@ -116,12 +121,13 @@
             .equalsIgnoreCase(response.getHeader(HttpHeaders.CONNECTION));
         boolean neverRan = "1".equals(response.getHeader(Headers.NEVER_RAN));
         String report = response.getHeader(Headers.LOAD);
+        String type = response.getHeader(HttpHeaders.CONTENT_TYPE);
         response.exceptionHandler(broken -> peer.close(CloseReason.RESET));
         BodyReader.read(response, body -> {
             String load = report == null && probe ? new String(body, StandardCharsets.UTF_8)
                 : report;
             events.accept(new AnswerRead(peer.number, new ServerAnswer(response.statusCode(), neverRan,
-                LoadReports.read(load), body, reusable)));
+                LoadReports.read(load), new Content(type, body), reusable)));
         }, () -> peer.close(CloseReason.MALFORMED));
     }
 
--- a/src/test/java/ottergauge/program/NodeIT.java
+++ b/src/test/java/ottergauge/program/NodeIT.java
@@ -172,6 +172,18 @@
         }
     }
 
+    @Test
+    void aCallThatDiscoveryLeavesHangingIsClosedAndMadeAgain() throws Exception {
+        try (StubServer discovery = new StubServer((request, connection) -> true);
+             RunningNode node = RunningNode.ready(folder, new TestConfig().askMs(200), discovery.address())) {
+            assertNotNull(discovery.requests.poll(10, TimeUnit.SECONDS));
+            assertNotNull(discovery.ended.poll(10, TimeUnit.SECONDS));
+            assertNotNull(discovery.requests.poll(10, TimeUnit.SECONDS));
+            node.awaitLog("a call to discovery failed");
+            node.awaitLog("ended side=discovery");
+        }
+    }
+
     @Test
     void discoverysNonsenseIsPassedOverAndAskedAgain() throws Exception {
         StubServer discovery = new StubServer((request, connection) -> {
--- a/src/test/java/ottergauge/protocol/TestConfig.java
+++ b/src/test/java/ottergauge/protocol/TestConfig.java
@@ -14,6 +14,7 @@
     private int sockets = 1024;
     private int maxAttempts = 5;
     private long idleMs = 10_000;
+    private long askMs = 10_000;
     private boolean probes;
 
     /** One entry of a list. */
@@ -60,6 +61,11 @@
         return this;
     }
 
+    public TestConfig askMs(long ms) {
+        askMs = ms;
+        return this;
+    }
+
     public String json() {
         return """
             {"name":"n1","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
@@ -71,7 +77,7 @@
               "ceilings":{"probes":%b,"cancel":true,"retryAfter":true,"maxAttempts":%d,
                "maxRetryAfterMs":600.0,"connectTimeoutMs":200.0,"connIdleMs":%d},
               "rules":{"answerSlackMs":5.0,"stopSendingWithinMs":250.0,"coldFrom":0.3,"coldMs":9000.0,
-               "tipMultiple":3.0,"fallMs":1000.0,"mustAskInMs":10000.0},
+               "tipMultiple":3.0,"fallMs":1000.0,"mustAskInMs":%d},
               "penalties":{"probe":0.002},
               "classes":[
                {"name":"read","semantics":"free","aimMs":800.0,"hardLimitMs":1000.0,"value":1.0},
@@ -80,7 +86,8 @@
                {"name":"grant","semantics":"single_shot","aimMs":800.0,"hardLimitMs":1000.0,"value":1.0}],
               "parties":[]}}
             """.formatted(listen, discovery, sockets, list(41, true, hosts.toArray(new String[0])),
-            probes ? "inline" : "off", probes, maxAttempts, idleMs);
+            probes ? "inline" : "off", probes, maxAttempts, idleMs,
+            askMs);
     }
 
     public NodeConfig build() {
--- a/src/test/java/ottergauge/routing/RouterDriver.java
+++ b/src/test/java/ottergauge/routing/RouterDriver.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import ottergauge.DecisionApi.LoadReport;
+import ottergauge.protocol.Content;
 import ottergauge.protocol.HostList;
 import ottergauge.protocol.ProtocolException;
 import ottergauge.protocol.RequestFields;
@@ -92,7 +93,7 @@
         tell(new Event.RequestBegan(client));
         tell(new Event.RequestRead(client, new ClientRequest(
             new RequestFields("id-" + client, requestClass, expiresInMs, false, "key"), "POST", "/api?x=1",
-            "ask".getBytes(StandardCharsets.UTF_8))));
+            text("ask"))));
     }
 
     /** Lets the next connection that was asked for come up and gives back what is written to it. */
@@ -115,7 +116,11 @@
 
     void answer(Forward forward, int status, boolean neverRan, boolean reusable) {
         tell(new Event.AnswerRead(forward.connection(), new ServerAnswer(status, neverRan, LoadReport.NONE,
-            "answer".getBytes(StandardCharsets.UTF_8), reusable)));
+            text("answer"), reusable)));
+    }
+
+    private static Content text(String body) {
+        return new Content("text/plain", body.getBytes(StandardCharsets.UTF_8));
     }
 
     /** Writes and answers a request. */
--- a/src/test/java/ottergauge/routing/RouterTest.java
+++ b/src/test/java/ottergauge/routing/RouterTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import ottergauge.protocol.Content;
 import ottergauge.protocol.RequestFields;
 import ottergauge.protocol.TestConfig;
 import ottergauge.routing.Effect.AskLoad;
@@ -49,13 +50,13 @@
         Forward forward = node.connectNext();
         assertEquals("/api?x=1", forward.request().uri());
         assertEquals("POST", forward.request().method());
-        assertEquals("ask", new String(forward.request().body(), StandardCharsets.UTF_8));
+        assertEquals("ask", new String(forward.request().content().bytes(), StandardCharsets.UTF_8));
         assertTrue(forward.waits() > 0 && forward.waits() <= 1_000_000, "waits " + forward.waits());
         node.serve(forward);
         Respond respond = node.expect(Respond.class);
         assertEquals(client, respond.client());
         assertEquals(200, respond.status());
-        assertArrayEquals("answer".getBytes(StandardCharsets.UTF_8), respond.body());
+        assertArrayEquals("answer".getBytes(StandardCharsets.UTF_8), respond.content().bytes());
         assertFalse(respond.last());
     }
 
@@ -102,7 +103,7 @@
         other.tell(new Event.RequestBegan(late));
         other.pass(300);
         other.tell(new Event.RequestRead(late, new Event.ClientRequest(
-            new RequestFields("id", "read", 200, false, null), "GET", "/api", new byte[0])));
+            new RequestFields("id", "read", 200, false, null), "GET", "/api", Content.NONE)));
         // Its time was over before it had come whole: it is answered at once.
         assertEquals(503, other.status(late));
     }
@@ -268,7 +269,7 @@
     void whatIsNoRequestIsAnsweredAndItsConnectionClosed() {
         RouterDriver node = one();
         long client = node.client();
-        node.tell(new Event.RequestUnreadable(client, 413));
+        node.tell(new Event.RequestUnreadable(client, 413, "too large"));
         Respond respond = node.expect(Respond.class);
         assertEquals(413, respond.status());
         assertTrue(respond.last());
@@ -450,6 +451,24 @@
         node.expect(Exit.class);
     }
 
+    @Test
+    void aClientThatComesLateAndSendsNothingDoesNotKeepTheNodeFromEnding() {
+        RouterDriver node = one();
+        node.tell(new Event.StopAsked());
+        long busy = node.request("read");
+        Forward forward = node.connectNext();
+        node.written(forward);
+        node.pass(600);
+        long late = node.client();
+        node.answer(forward, 200, false);
+        assertEquals(200, node.status(busy));
+        node.tell(new Event.ClientClosed(busy));
+        node.expectNo(Exit.class);
+        node.pass(1100);
+        assertEquals(new CloseClient(late, CloseReason.STOPPING), node.expect(CloseClient.class));
+        node.expect(Exit.class);
+    }
+
     @Test
     void aNodeThatRunsIsReady() {
         RouterDriver node = one();
