Connections that end on bytes that are no message are logged as MALFORMED

Seen in an integration test with a broken chunked body: the library closes such a connection by itself and reports a decoder's error; Peer took every reported error for RESET. Only errors of the socket are that now. New tests: aBodyThatIsNoneEndsItsConnectionAlone, aServerThatTalksNonsenseIsTakenForOneThatBroke.

Tried and left out: a rehearsal before the node is ready (200 requests through a router of its own, 100 calls to its own address).

--- a/src/main/java/ottergauge/transport/ClientSide.java
+++ b/src/main/java/ottergauge/transport/ClientSide.java
@@ -76,7 +76,7 @@
         Peer<HttpConnection> peer = new Peer<>(++lastNumber, connection);
         peers.put(connection, peer);
         byNumber.put(peer.number, peer);
-        connection.exceptionHandler(error -> peer.because(CloseReason.RESET));
+        connection.exceptionHandler(peer::broke);
         connection.closeHandler(closed -> {
             peers.remove(connection);
             byNumber.remove(peer.number);
--- a/src/main/java/ottergauge/transport/DiscoverySide.java
+++ b/src/main/java/ottergauge/transport/DiscoverySide.java
@@ -18,7 +18,6 @@
 import ottergauge.protocol.Headers;
 import ottergauge.protocol.HostList;
 import ottergauge.protocol.ProtocolException;
-import ottergauge.routing.CloseReason;
 import ottergauge.routing.Effect.CallDiscovery;
 import ottergauge.routing.Event;
 import ottergauge.routing.Event.ListCallFailed;
@@ -46,7 +45,7 @@
 
     private void connected(HttpConnection connection) {
         Peer<HttpConnection> peer = new Peer<>(0, connection);
-        connection.exceptionHandler(error -> peer.because(CloseReason.RESET));
+        connection.exceptionHandler(peer::broke);
         connection.closeHandler(closed -> ConnectionLog.ended("discovery", address, peer.reason()));
     }
 
--- a/src/main/java/ottergauge/transport/Peer.java
+++ b/src/main/java/ottergauge/transport/Peer.java
@@ -2,6 +2,7 @@
 package ottergauge.transport;
 
 import io.vertx.core.http.HttpConnection;
+import java.io.IOException;
 import ottergauge.routing.CloseReason;
 
 /** An open connection and why it is going to end; the first reason given counts. */
@@ -19,6 +20,11 @@
         reason = reason == null ? why : reason;
     }
 
+    /** Takes what the library says went wrong: an error of the socket, or bytes that are no message. */
+    void broke(Throwable error) {
+        because(error instanceof IOException ? CloseReason.RESET : CloseReason.MALFORMED);
+    }
+
     void close(CloseReason why) {
         because(why);
         connection.close();
--- a/src/main/java/ottergauge/transport/ServerSide.java
+++ b/src/main/java/ottergauge/transport/ServerSide.java
@@ -70,7 +70,7 @@
     private void connected(long number, HttpClientConnection connection) {
         Peer<HttpClientConnection> peer = new Peer<>(number, connection);
         peers.put(number, peer);
-        connection.exceptionHandler(error -> peer.because(CloseReason.RESET));
+        connection.exceptionHandler(peer::broke);
         connection.closeHandler(closed -> {
             peers.remove(number);
             ConnectionLog.ended(SIDE, connection.remoteAddress(), peer.reason());
--- a/src/test/java/ottergauge/program/NodeIT.java
+++ b/src/test/java/ottergauge/program/NodeIT.java
@@ -12,6 +12,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -109,6 +110,7 @@
         "400|GET /api HTTP/1.1~Host: x~X-Trace-Id: 1 2~X-Qos: read~~",
         "400|GET /api?q=\u00e9 HTTP/1.1~Host: x~X-Trace-Id: 1~X-Qos: read~~",
         "400|GET /api HTTP/1.1~Host: x~X-Trace-Id: 1~X-Qos: read~X-Expires-In-Ms: x~~",
+        "501|PRI * HTTP/2.0~~SM~~",
         "405|DELETE /api HTTP/1.1~Host: x~X-Trace-Id: 1~X-Qos: read~~",
         "413|POST /api HTTP/1.1~Host: x~X-Trace-Id: 1~X-Qos: read~Content-Length: 70000~~LARGE",
         "414|GET /LARGE HTTP/1.1~Host: x~~",
@@ -127,6 +129,32 @@
         }
     }
 
+    @Test
+    void aBodyThatIsNoneEndsItsConnectionAlone() throws Exception {
+        try (StubServer server = StubServer.obedient(); RunningNode node = nodeBefore(server);
+             Client bad = node.client(); Client client = node.client()) {
+            bad.write("POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: 1\r\nX-Qos: read\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\nno size\r\n\r\n");
+            assertTrue(bad.atEnd());
+            node.awaitLog("code=MALFORMED");
+            assertEquals(200, client.ask(Client.post("read", "ok", "")).status());
+        }
+    }
+
+    @Test
+    void aServerThatTalksNonsenseIsTakenForOneThatBroke() throws Exception {
+        StubServer server = new StubServer((request, connection) -> {
+            connection.getOutputStream().write("nonsense\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            return true;
+        });
+        try (server; RunningNode node = nodeBefore(server); Client client = node.client()) {
+            assertEquals(502, client.ask(Client.post("grant", "ok", "")).status());
+            assertNotNull(server.ended.poll(10, TimeUnit.SECONDS));
+            node.awaitLog("code=MALFORMED");
+            assertEquals(1, server.requests.size());
+        }
+    }
+
     @Test
     void clientsThatStopHalfwayHurtNobody() throws Exception {
         try (StubServer server = StubServer.obedient(); RunningNode node = nodeBefore(server);
