--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -120,7 +120,6 @@
         } else if (event instanceof Event.ListRead e) {
             listRead(e);
         } else if (event instanceof Event.ListCallFailed) {
-            watch.failed();
             learnt.add(new ListFailed());
         } else if (event instanceof Event.HealthAsked e) {
             clients.respond(e.client(), e.readiness() && stopping ? UNAVAILABLE : OK, 0, Content.NONE, false);
--- a/src/main/java/ottergauge/routing/Watch.java
+++ b/src/main/java/ottergauge/routing/Watch.java
@@ -24,7 +24,6 @@
     private final Consumer<Effect> effects;
     private long seq;
     private long calledAt;
-    private boolean calling;
     private boolean answered;
 
     Watch(NodeConfig config, Consumer<Effect> effects) {
@@ -33,17 +32,14 @@
         seq = config.known().seq();
     }
 
-    /** Begins a watch, unless one is on. */
+    /** Begins a watch: the decisions ask for one at the start and after each that failed. */
     void begin(long now) {
-        if (!calling) {
-            answered = false;
-            call(now);
-        }
+        answered = false;
+        call(now);
     }
 
     /** Goes on with the watch. */
     void call(long now) {
-        calling = true;
         calledAt = now;
         // A node that has neither watched nor asked for this time counts as told: a call that hangs unnoticed
         // is found out no later.
@@ -64,10 +60,6 @@
             : Optional.empty();
     }
 
-    void failed() {
-        calling = false;
-    }
-
     DecisionApi.Event lastKnown() {
         return listed(config.known(), ListScope.LAST_KNOWN);
     }
--- a/src/test/java/ottergauge/routing/RouterTest.java
+++ b/src/test/java/ottergauge/routing/RouterTest.java
@@ -379,6 +379,16 @@
         assertEquals(CloseReason.IDLE, node.expect(CloseServer.class).reason());
     }
 
+    @Test
+    void anIdleClientIsLeftAloneForLongAndThenClosed() {
+        RouterDriver node = one();
+        long client = node.client();
+        node.pass(19_000);
+        node.expectNo(CloseClient.class);
+        node.pass(2000);
+        assertEquals(new CloseClient(client, CloseReason.IDLE), node.expect(CloseClient.class));
+    }
+
     @Test
     void shortOfSocketsTheLongestIdleConnectionGoesFirst() {
         RouterDriver node = new RouterDriver(new TestConfig().knows(ONE).sockets(64 + 3));
