--- a/src/test/java/ottergauge/routing/RouterTest.java
+++ b/src/test/java/ottergauge/routing/RouterTest.java
@@ -90,6 +90,34 @@
         node.expectNo(Forward.class);
     }
 
+    @Test
+    void aConnectionOnItsWayServesWhoeverWaitsNext() {
+        RouterDriver node = one();
+        long gone = node.request("read");
+        Connect connect = node.expect(Connect.class);
+        node.tell(new Event.ClientClosed(gone));
+        long client = node.request("read");
+        node.expectNo(Connect.class);
+        node.tell(new Event.ServerConnected(connect.connection()));
+        node.serve(node.expect(Forward.class));
+        assertEquals(200, node.status(client));
+    }
+
+    @Test
+    void aFailedConnectionEndsNoAttemptThatAnotherIsOnItsWayFor() {
+        RouterDriver node = one();
+        long gone = node.request("grant");
+        long client = node.request("grant");
+        Connect first = node.expect(Connect.class);
+        Connect second = node.expect(Connect.class);
+        node.tell(new Event.ClientClosed(gone));
+        node.tell(new Event.ConnectFailed(first.connection()));
+        node.expectNo(Respond.class);
+        node.tell(new Event.ServerConnected(second.connection()));
+        node.serve(node.expect(Forward.class));
+        assertEquals(200, node.status(client));
+    }
+
     @Test
     void aTimeToWaitCountsFromTheFirstByteAndIsTheClassesWhereNoneIsNamed() {
         RouterDriver node = one();
