SIGHUP reads the configuration again and moves the watch at once

The virtual machine takes an unhandled SIGHUP for an end; DiscoverySide held its address for good, and a watch waits up to 10 s. Now ServeCommand reads the file again, the reducer takes it as one event, the call that is out is given up and the new address is asked for the whole list without waiting; a bad file leaves the old configuration in force. Late answers of the old call are told by their number.

--- a/src/main/java/ottergauge/program/ServeCommand.java
+++ b/src/main/java/ottergauge/program/ServeCommand.java
@@ -13,10 +13,11 @@
 import ottergauge.transport.NodeServer;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import sun.misc.Signal;
 
-/** Runs one node until it is told to stop. */
+/** Runs one node until it is told to stop; SIGHUP has it read its configuration again. */
 @Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-    description = "Run one node on sockets, until SIGTERM.")
+    description = "Run one node on sockets, until SIGTERM; SIGHUP reads the configuration again.")
 final class ServeCommand implements Callable<Integer> {
 
     private static final Logger LOG = LoggerFactory.getLogger(ServeCommand.class);
@@ -29,12 +30,14 @@
     public Integer call() throws InterruptedException {
         NodeConfig config;
         try {
-            config = NodeConfig.read(Files.readAllBytes(configFile));
+            config = read();
         } catch (IOException | ProtocolException e) {
-            LOG.error("bad configuration {}: {}", configFile, e.getMessage());
+            LOG.error("bad configuration {}: {}", configFile, e.toString());
             return 1;
         }
         NodeServer node = new NodeServer(config);
+        // Unhandled, the signal would end the virtual machine.
+        Signal.handle(new Signal("HUP"), hangUp -> reload(node));
         CountDownLatch failed = new CountDownLatch(1);
         node.start().onFailure(e -> {
             LOG.error("cannot listen on {}: {}", config.listen(), e.getMessage());
@@ -45,6 +48,19 @@
         return 1;
     }
 
+    private NodeConfig read() throws IOException, ProtocolException {
+        return NodeConfig.read(Files.readAllBytes(configFile));
+    }
+
+    // A bad file must not cost a node that serves: the configuration in force stays.
+    private void reload(NodeServer node) {
+        try {
+            node.reconfigure(read());
+        } catch (IOException | ProtocolException | RuntimeException e) {
+            LOG.error("bad configuration {}, the one before stays in force: {}", configFile, e.toString());
+        }
+    }
+
     // The virtual machine ends once this has run: not before all that was taken is answered.
     private static void stop(NodeServer node, CountDownLatch failed) {
         if (failed.getCount() == 0) {
--- a/src/main/java/ottergauge/protocol/HostList.java
+++ b/src/main/java/ottergauge/protocol/HostList.java
@@ -18,6 +18,8 @@
     public record Host(String name, Address dial, String site, String kind, int block, ServerState state,
                        double share, long bornMs) { }
 
+    public static final HostList EMPTY = new HostList(0, true, List.of());
+
     private static final JsonFactory JSON = new JsonFactory();
 
     /** Reads discovery's answer. */
--- a/src/main/java/ottergauge/protocol/NodeConfig.java
+++ b/src/main/java/ottergauge/protocol/NodeConfig.java
@@ -41,7 +41,7 @@
         SettingsReader root = new SettingsReader(tree);
         SettingsReader limits = new SettingsReader(settings).child("ceilings");
         HostList known = tree.get("known") instanceof Map<?, ?> list ? HostList.of(list)
-            : new HostList(0, true, List.of());
+            : HostList.EMPTY;
         Settings read = SettingsReader.settings(settings);
         if (read.classes().isEmpty()) {
             throw new ProtocolException("the settings name no classes");
--- a/src/main/java/ottergauge/routing/Effect.java
+++ b/src/main/java/ottergauge/routing/Effect.java
@@ -27,8 +27,11 @@
 
     record CloseServer(long connection, CloseReason reason) implements Effect { }
 
-    /** Asks discovery for what is newer than a version, waiting so long for it. */
-    record CallDiscovery(long after, long waits) implements Effect { }
+    /**
+     * Asks discovery for what is newer than a version, waiting so long for it; for the whole list if the
+     * version is negative. An earlier call that is still out is given up.
+     */
+    record CallDiscovery(long call, Address address, long after, long waits) implements Effect { }
 
     record StartTimer(long delay, Timer timer) implements Effect { }
 
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -4,6 +4,7 @@
 import ottergauge.DecisionApi.LoadReport;
 import ottergauge.protocol.Content;
 import ottergauge.protocol.HostList;
+import ottergauge.protocol.NodeConfig;
 import ottergauge.protocol.RequestFields;
 
 /** Something that happened at the node's edge. Connections are known by the numbers given to them. */
@@ -46,9 +47,12 @@
 
     record ServerClosed(long connection) implements Event { }
 
-    record ListRead(HostList list) implements Event { }
+    record ListRead(long call, HostList list) implements Event { }
 
-    record ListCallFailed() implements Event { }
+    record ListCallFailed(long call) implements Event { }
+
+    /** The node has been given a new configuration. */
+    record Reconfigured(NodeConfig config) implements Event { }
 
     record TimerFired(Timer timer) implements Event { }
 
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -12,7 +12,6 @@
 import ottergauge.DecisionApi;
 import ottergauge.DecisionApi.AttemptEnded;
 import ottergauge.DecisionApi.ClientGone;
-import ottergauge.DecisionApi.ListFailed;
 import ottergauge.DecisionApi.LoadReport;
 import ottergauge.DecisionApi.ProbeEnded;
 import ottergauge.DecisionApi.RequestArrived;
@@ -55,6 +54,7 @@
     private final Map<Long, Job> jobs = new HashMap<>();
     private final Deque<DecisionApi.Event> learnt = new ArrayDeque<>();
     private final Deque<DecisionApi.Action> decided = new ArrayDeque<>();
+    private int sockets;
     private long now;
     private long lastExchange;
     private long lastJob;
@@ -65,6 +65,7 @@
     public Router(NodeConfig config, Consumer<Effect> effects) {
         this.config = config;
         this.effects = effects;
+        sockets = config.sockets();
         decide = new Decide(config.settings(), config.seed());
         long longest = 0;
         for (RequestClass type : config.settings().classes()) {
@@ -119,8 +120,13 @@
             upstreams.closed(e.connection()).ifPresent(job -> ended(job, broken(job)));
         } else if (event instanceof Event.ListRead e) {
             listRead(e);
-        } else if (event instanceof Event.ListCallFailed) {
-            learnt.add(new ListFailed());
+        } else if (event instanceof Event.ListCallFailed e) {
+            if (watch.awaits(e.call())) {
+                learnt.add(watch.failed());
+            }
+        } else if (event instanceof Event.Reconfigured e) {
+            sockets = e.config().sockets();
+            watch.move(now, e.config().discovery());
         } else if (event instanceof Event.HealthAsked e) {
             clients.respond(e.client(), e.readiness() && stopping ? UNAVAILABLE : OK, 0, Content.NONE, false);
         } else if (event instanceof Event.RequestUnreadable e) {
@@ -260,7 +266,7 @@
 
     // Short of sockets, idle connections go before anything is refused.
     private boolean makeRoom(int wanted) {
-        int most = Math.max(1, config.sockets() - RESERVE);
+        int most = Math.max(1, sockets - RESERVE);
         while (clients.open() + upstreams.open() + wanted > most) {
             if (!upstreams.closeOneIdle() && !clients.closeOneIdle()) {
                 return false;
@@ -272,6 +278,9 @@
     // ---- Discovery ----------------------------------------------------------------------------------
 
     private void listRead(Event.ListRead e) {
+        if (!watch.awaits(e.call())) {
+            return;
+        }
         List<Job> withdrawn = upstreams.follow(e.list());
         // The list first: told only of a withdrawn attempt, the module would send it to the same server.
         watch.read(now, e.list()).ifPresent(learnt::add);
@@ -286,7 +295,7 @@
         } else if (timer instanceof Timer.JobDue due) {
             due(due.job());
         } else if (timer instanceof Timer.NextCall) {
-            watch.call(now);
+            watch.resume(now);
         } else if (timer instanceof Timer.FrontQuiet) {
             frontQuiet = true;
             clients.closeIdle(CloseReason.STOPPING);
--- a/src/main/java/ottergauge/routing/Watch.java
+++ b/src/main/java/ottergauge/routing/Watch.java
@@ -4,9 +4,11 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import ottergauge.DecisionApi;
+import ottergauge.DecisionApi.ListFailed;
 import ottergauge.DecisionApi.ListScope;
 import ottergauge.DecisionApi.ListedServer;
 import ottergauge.DecisionApi.ServerList;
+import ottergauge.protocol.Address;
 import ottergauge.protocol.HostList;
 import ottergauge.protocol.NodeConfig;
 import ottergauge.routing.Effect.CallDiscovery;
@@ -20,34 +22,63 @@
     // well within the 200 ms in which a watch goes on.
     private static final long PAUSE = 50_000;
 
+    // Asks for the whole list: versions of one address need not be those of another.
+    private static final long NO_VERSION = -1;
+
     private final NodeConfig config;
     private final Consumer<Effect> effects;
+    private Address address;
     private long seq;
+    private long lastCall;
+    private boolean out;
     private long calledAt;
     private boolean answered;
 
     Watch(NodeConfig config, Consumer<Effect> effects) {
         this.config = config;
         this.effects = effects;
+        address = config.discovery();
         seq = config.known().seq();
     }
 
     /** Begins a watch: the decisions ask for one at the start and after each that failed. */
     void begin(long now) {
         answered = false;
-        call(now);
+        resume(now);
+    }
+
+    /**
+     * Discovery is at another address from now on. The call that is out is not waited for: its address takes
+     * no further calls, and what it does not tell any more counts as told soon.
+     */
+    void move(long now, Address to) {
+        if (!to.equals(address)) {
+            address = to;
+            seq = NO_VERSION;
+            answered = false;
+            call(now);
+        }
     }
 
     /** Goes on with the watch. */
-    void call(long now) {
+    void resume(long now) {
+        if (!out) {
+            call(now);
+        }
+    }
+
+    private void call(long now) {
+        out = true;
         calledAt = now;
         // A node that has neither watched nor asked for this time counts as told: a call that hangs unnoticed
         // is found out no later.
-        effects.accept(new CallDiscovery(seq, Math.min(MOST_WAIT, config.askWithin())));
+        effects.accept(new CallDiscovery(++lastCall, address, seq,
+            seq < 0 ? 0 : Math.min(MOST_WAIT, config.askWithin())));
     }
 
     /** Takes an answer, goes on with the watch, and says what the decisions have to know of it. */
     Optional<DecisionApi.Event> read(long now, HostList list) {
+        out = false;
         boolean news = list.whole() || !list.hosts().isEmpty() || !answered;
         answered = true;
         seq = list.seq();
@@ -60,6 +91,16 @@
             : Optional.empty();
     }
 
+    DecisionApi.Event failed() {
+        out = false;
+        return new ListFailed();
+    }
+
+    /** Whether this is the call whose answer counts: one that was given up may still bring something. */
+    boolean awaits(long call) {
+        return out && call == lastCall;
+    }
+
     DecisionApi.Event lastKnown() {
         return listed(config.known(), ListScope.LAST_KNOWN);
     }
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -46,7 +46,7 @@
         router = new Router(config, this::carryOut);
         clients = new ClientSide(vertx, this::take);
         servers = new ServerSide(vertx, this::take);
-        discovery = new DiscoverySide(vertx, config.discovery(), this::take);
+        discovery = new DiscoverySide(vertx, this::take);
     }
 
     /** Starts to serve; the future says whether the address could be had. */
@@ -69,6 +69,18 @@
         return ended.future();
     }
 
+    /** Goes on with another configuration: with what of it can change while the node runs. */
+    public void reconfigure(NodeConfig next) {
+        context.runOnContext(run -> {
+            LOG.info("{} goes on with discovery at {} and {} descriptors", config.name(), next.discovery(),
+                next.sockets());
+            if (!next.settings().equals(config.settings()) || !next.listen().equals(config.listen())) {
+                LOG.warn("the new configuration's address and settings count from the next start on");
+            }
+            take(new Event.Reconfigured(next));
+        });
+    }
+
     // Effects may bring events at once: each waits until the one before it has been handled whole.
     private void take(Event event) {
         events.add(event);
--- a/src/test/java/ottergauge/program/NodeIT.java
+++ b/src/test/java/ottergauge/program/NodeIT.java
@@ -228,6 +228,34 @@
         }
     }
 
+    @Test
+    void aHangUpMovesTheWatchToAnotherAddressAndABadFileChangesNothing() throws Exception {
+        try (StubServer first = StubServer.obedient(); StubServer second = StubServer.obedient();
+             StubServer before = new StubServer((request, connection) -> true);
+             StubServer after = new StubServer((request, connection) -> {
+                 if (!request.target().contains("?")) {
+                     connection.getOutputStream().write(HttpMessage.response(200, "", list(1, true,
+                         host("s-2", second.address(), "in_service"))));
+                 }
+                 return true;
+             });
+             RunningNode node = RunningNode.ready(folder, new TestConfig()
+                 .knows(host("s-1", first.address(), "in_service")), before.address());
+             Client client = node.client()) {
+            assertNotNull(before.requests.poll(10, TimeUnit.SECONDS));
+            node.hangUp("{\"settings\":");
+            node.awaitLog("stays in force");
+            assertEquals(200, client.ask(Client.post("read", "ok", "")).status());
+            assertEquals(1, first.requests.size());
+            node.hangUp(new TestConfig().at(node.address(), after.address()).json());
+            assertNotNull(before.ended.poll(10, TimeUnit.SECONDS), "the old watch was kept open");
+            assertEquals("/registry/instances", after.requests.poll(10, TimeUnit.SECONDS).target());
+            assertTrue(after.requests.poll(10, TimeUnit.SECONDS).target().contains("after=1&"));
+            assertEquals(200, client.ask(Client.post("read", "ok", "")).status());
+            assertEquals(1, second.requests.size());
+        }
+    }
+
     @Test
     void aNodeToldToStopAnswersWhatItHasTakenAndEnds() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
--- a/src/test/java/ottergauge/program/RunningNode.java
+++ b/src/test/java/ottergauge/program/RunningNode.java
@@ -24,11 +24,13 @@
 
     final Process process;
     private final int port;
+    private final Path file;
     private final Path log;
 
-    private RunningNode(Process process, int port, Path log) {
+    private RunningNode(Process process, int port, Path file, Path log) {
         this.process = process;
         this.port = port;
+        this.file = file;
         this.log = log;
     }
 
@@ -63,7 +65,7 @@
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1)).redirectErrorStream(true)
             .redirectOutput(log.toFile());
         builder.environment().put("BALANCER_CONFIG", file.toString());
-        return new RunningNode(builder.start(), port, log);
+        return new RunningNode(builder.start(), port, file, log);
     }
 
     /** Waits for something to become true, looking often. */
@@ -89,6 +91,16 @@
         await("logged: " + text, () -> log().contains(text));
     }
 
+    String address() {
+        return "127.0.0.1:" + port;
+    }
+
+    /** Replaces the configuration and sends SIGHUP. */
+    void hangUp(String config) throws IOException, InterruptedException {
+        Files.writeString(file, config);
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    }
+
     Client client() throws IOException {
         return new Client(new Socket(InetAddress.getLoopbackAddress(), port));
     }
--- a/src/test/java/ottergauge/routing/RouterDriver.java
+++ b/src/test/java/ottergauge/routing/RouterDriver.java
@@ -15,6 +15,7 @@
 import ottergauge.protocol.ProtocolException;
 import ottergauge.protocol.RequestFields;
 import ottergauge.protocol.TestConfig;
+import ottergauge.routing.Effect.CallDiscovery;
 import ottergauge.routing.Effect.Connect;
 import ottergauge.routing.Effect.Forward;
 import ottergauge.routing.Effect.Respond;
@@ -34,6 +35,7 @@
     private long now = 1_000_000_000_000L;
     private long order;
     private long lastClient;
+    private long lastCall;
 
     RouterDriver(TestConfig config) {
         router = new Router(config.build(), this::asked);
@@ -44,6 +46,7 @@
         if (effect instanceof StartTimer timer) {
             timers.add(new Due(now + timer.delay(), order++, timer.timer()));
         } else {
+            lastCall = effect instanceof CallDiscovery call ? call.call() : lastCall;
             effects.add(effect);
         }
     }
@@ -136,9 +139,17 @@
         return respond.status();
     }
 
+    void callFailed() {
+        tell(new Event.ListCallFailed(lastCall));
+    }
+
+    /** Answers the call to discovery that is out; the first is made soon after the start. */
     void list(long seq, boolean whole, String... entries) {
+        if (lastCall == 0) {
+            pass(200);
+        }
         try {
-            tell(new Event.ListRead(HostList.read(
+            tell(new Event.ListRead(lastCall, HostList.read(
                 TestConfig.list(seq, whole, entries).getBytes(StandardCharsets.UTF_8))));
         } catch (ProtocolException e) {
             throw new IllegalStateException(e);
--- a/src/test/java/ottergauge/routing/RouterTest.java
+++ b/src/test/java/ottergauge/routing/RouterTest.java
@@ -17,6 +17,8 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import ottergauge.protocol.Content;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.NodeConfig;
 import ottergauge.protocol.RequestFields;
 import ottergauge.protocol.TestConfig;
 import ottergauge.routing.Effect.AskLoad;
@@ -33,6 +35,8 @@
     private static final String ONE = host("s-1", "10.0.0.1:80", "in_service");
     private static final String TWO = host("s-2", "10.0.0.2:80", "in_service");
 
+    private static final String TWO_DIAL = "10.0.0.2:80";
+
     private static RouterDriver one() {
         return new RouterDriver(new TestConfig().knows(ONE));
     }
@@ -387,13 +391,63 @@
     void afterAFailedCallTheNextOneWaits() {
         RouterDriver node = watching();
         node.expect(CallDiscovery.class);
-        node.tell(new Event.ListCallFailed());
+        node.callFailed();
         node.expectNo(CallDiscovery.class);
         node.pass(1000);
         node.expect(CallDiscovery.class);
         node.expectNo(CallDiscovery.class);
     }
 
+    private static NodeConfig discoveryAt(String address) {
+        return new TestConfig().at("127.0.0.1:3000", address).build();
+    }
+
+    @Test
+    void anotherAddressOfDiscoveryIsAskedForTheWholeListAtOnce() {
+        RouterDriver node = watching();
+        CallDiscovery old = node.expect(CallDiscovery.class);
+        node.tell(new Event.Reconfigured(discoveryAt("127.0.0.1:8600")));
+        CallDiscovery call = node.expect(CallDiscovery.class);
+        assertEquals(8600, call.address().port());
+        assertTrue(call.after() < 0 && call.waits() == 0, "waits where it was to ask at once: " + call);
+        // What the call that was given up still brings, or that it failed, changes nothing.
+        node.tell(new Event.ListRead(old.call(), HostList.EMPTY));
+        node.tell(new Event.ListCallFailed(old.call()));
+        node.pass(2000);
+        node.expectNo(CallDiscovery.class);
+        node.list(3, true, TWO);
+        assertEquals(3, node.expect(CallDiscovery.class).after());
+        node.request("read");
+        assertEquals(TWO_DIAL, node.expect(Connect.class).address().toString());
+    }
+
+    @Test
+    void aMoveWhileACallIsAwaitedMakesOneCall() {
+        RouterDriver node = watching();
+        node.expect(CallDiscovery.class);
+        node.callFailed();
+        node.tell(new Event.Reconfigured(discoveryAt("127.0.0.1:8600")));
+        node.expect(CallDiscovery.class);
+        node.pass(2000);
+        node.expectNo(CallDiscovery.class);
+    }
+
+    @Test
+    void theSameAddressOfDiscoveryLeavesTheWatchAlone() {
+        RouterDriver node = watching();
+        node.expect(CallDiscovery.class);
+        node.tell(new Event.Reconfigured(discoveryAt("127.0.0.1:8500")));
+        node.expectNo(CallDiscovery.class);
+    }
+
+    @Test
+    void aNewLimitOfSocketsCountsAtOnce() {
+        RouterDriver node = one();
+        node.tell(new Event.Reconfigured(new TestConfig().sockets(1).build()));
+        assertEquals(503, node.status(node.request("grant")));
+        node.expectNo(Connect.class);
+    }
+
     // ---- Idle connections and sockets ---------------------------------------------------------------
 
     @Test
