A rehearsal in memory before the node is ready: it no longer begins cold

Ruled out: the network (0.05 core of system time) and the servers (no attempt failed).

Before it listens the node now serves made-up requests through its own codecs, router and a module of their own, over embedded channels, for 1.5 s at most.

--- a/src/main/java/ottergauge/program/ServeCommand.java
+++ b/src/main/java/ottergauge/program/ServeCommand.java
@@ -11,6 +11,7 @@
 import ottergauge.protocol.NodeConfig;
 import ottergauge.protocol.ProtocolException;
 import ottergauge.transport.NodeServer;
+import ottergauge.transport.Rehearsal;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import sun.misc.Signal;
@@ -35,6 +36,9 @@
             LOG.error("bad configuration {}: {}", configFile, e.toString());
             return 1;
         }
+        long rehearsedFrom = System.nanoTime();
+        int rehearsed = Rehearsal.run(config);
+        LOG.info("rehearsed {} requests in {} ms", rehearsed, (System.nanoTime() - rehearsedFrom) / 1_000_000);
         NodeServer node = new NodeServer(config);
         // Unhandled, the signal would end the virtual machine.
         Signal.handle(new Signal("HUP"), hangUp -> reload(node));
--- a/src/main/java/ottergauge/transport/ClientSide.java
+++ b/src/main/java/ottergauge/transport/ClientSide.java
@@ -1,14 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.transport;
 
-import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
-import io.vertx.core.net.NetSocket;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -29,30 +28,28 @@
     // As many as a burst of clients may open before the loop comes round to accept them.
     private static final int BACKLOG = 1024;
 
-    private final NetServer server;
     private final Consumer<Event> events;
     private final Map<Long, ClientConnection> connections = new HashMap<>();
     private long lastNumber;
 
-    ClientSide(Vertx vertx, Consumer<Event> events) {
+    ClientSide(Consumer<Event> events) {
         this.events = events;
-        server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(BACKLOG));
-        server.connectHandler(this::connected);
     }
 
-    Future<NetServer> listen(Address address) {
-        return server.listen(address.port(), address.host());
+    Future<NetServer> listen(Vertx vertx, Address address) {
+        return vertx.createNetServer(new NetServerOptions().setAcceptBacklog(BACKLOG))
+            .connectHandler(socket ->
+                adopt(((NetSocketInternal) socket).channelHandlerContext().pipeline()))
+            .listen(address.port(), address.host());
     }
 
-    private void connected(NetSocket socket) {
+    /** Takes a new connection. */
+    void adopt(ChannelPipeline pipeline) {
         long number = ++lastNumber;
         Framing.Requests decoder = new Framing.Requests();
         ClientConnection connection = new ClientConnection(number, decoder, this::report);
         connections.put(number, connection);
-        ChannelHandlerContext last = ((NetSocketInternal) socket).channelHandlerContext();
-        last.pipeline().addBefore(last.name(), "decoder", decoder)
-            .addBefore(last.name(), "encoder", new HttpResponseEncoder())
-            .addBefore(last.name(), "http", connection);
+        pipeline.addFirst(decoder, new HttpResponseEncoder(), connection);
         events.accept(new ClientConnected(number));
     }
 
--- a/src/main/java/ottergauge/transport/DiscoverySide.java
+++ b/src/main/java/ottergauge/transport/DiscoverySide.java
@@ -38,10 +38,10 @@
     private Address connectedTo;
     private CallDiscovery out;
 
-    DiscoverySide(Vertx vertx, Consumer<Event> events) {
+    DiscoverySide(Vertx vertx, NetClient client, Consumer<Event> events) {
         this.vertx = vertx;
         this.events = events;
-        client = vertx.createNetClient();
+        this.client = client;
     }
 
     void call(CallDiscovery effect) {
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -8,10 +8,10 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.internal.VertxBootstrap;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import io.vertx.core.net.NetClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import ottergauge.protocol.Headers;
 import ottergauge.protocol.NodeConfig;
 import ottergauge.routing.CloseReason;
 import ottergauge.routing.Effect;
@@ -32,9 +32,8 @@
     private final ClientSide clients;
     private final ServerSide servers;
     private final DiscoverySide discovery;
-    private final Deque<Event> events = new ArrayDeque<>();
+    private final EventQueue events = new EventQueue(this::handle);
     private final Promise<Void> ended = Promise.promise();
-    private boolean handling;
 
     public NodeServer(NodeConfig config) {
         this.config = config;
@@ -47,9 +46,11 @@
         vertx = VertxBootstrap.create().options(options).transport(new OneLoopTransport(gate)).init().vertx();
         context = vertx.getOrCreateContext();
         router = new Router(config, this::carryOut);
-        clients = new ClientSide(vertx, this::take);
-        servers = new ServerSide(vertx, this::take);
-        discovery = new DiscoverySide(vertx, this::take);
+        clients = new ClientSide(events::take);
+        NetClient client = vertx.createNetClient();
+        servers = new ServerSide((address, timeoutMs) -> Outbound.connect(client, "server", address, timeoutMs,
+            Headers.MOST_BODY), events::take);
+        discovery = new DiscoverySide(vertx, client, events::take);
     }
 
     /** Starts to serve; the future says whether the address could be had. */
@@ -57,7 +58,7 @@
         Promise<Void> started = Promise.promise();
         context.runOnContext(run -> {
             router.start(clock.micros());
-            clients.listen(config.listen()).onSuccess(listening -> LOG.info("{} listens on {}", config.name(),
+            clients.listen(vertx, config.listen()).onSuccess(listening -> LOG.info("{} listens on {}", config.name(),
                 config.listen())).<Void>mapEmpty().onComplete(started);
         });
         return started.future();
@@ -67,7 +68,7 @@
     public Future<Void> stop() {
         context.runOnContext(run -> {
             LOG.info("{} was told to stop", config.name());
-            take(new Event.StopAsked());
+            events.take(new Event.StopAsked());
         });
         return ended.future();
     }
@@ -80,26 +81,10 @@
             if (!next.settings().equals(config.settings()) || !next.listen().equals(config.listen())) {
                 LOG.warn("the new configuration's address and settings count from the next start on");
             }
-            take(new Event.Reconfigured(next));
+            events.take(new Event.Reconfigured(next));
         });
     }
 
-    // Effects may bring events at once: each waits until the one before it has been handled whole.
-    private void take(Event event) {
-        events.add(event);
-        if (handling) {
-            return;
-        }
-        handling = true;
-        try {
-            for (Event next = events.poll(); next != null; next = events.poll()) {
-                handle(next);
-            }
-        } finally {
-            handling = false;
-        }
-    }
-
     private void handle(Event event) {
         try {
             router.handle(clock.micros(), event);
@@ -132,7 +117,7 @@
             servers.askLoad(e);
         } else if (effect instanceof Effect.StartTimer e) {
             long millis = Math.max(1, (e.delay() + 999) / 1000);
-            vertx.setTimer(millis, fired -> take(new Event.TimerFired(e.timer())));
+            vertx.setTimer(millis, fired -> events.take(new Event.TimerFired(e.timer())));
         } else if (effect instanceof Effect.Connect e) {
             servers.connect(e);
         } else if (effect instanceof Effect.CloseServer e) {
--- a/src/main/java/ottergauge/transport/Outbound.java
+++ b/src/main/java/ottergauge/transport/Outbound.java
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.transport;
 
-import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -51,19 +51,19 @@
                                     int mostBody) {
         return client.connect(new ConnectOptions().setHost(address.host()).setPort(address.port())
                 .setTimeout((int) timeoutMs))
-            .map(socket -> {
-                Framing.Answers decoder = new Framing.Answers();
-                Outbound connection = new Outbound(side, decoder, mostBody);
-                ChannelHandlerContext last = ((NetSocketInternal) socket).channelHandlerContext();
-                last.pipeline().addBefore(last.name(), "decoder", decoder)
-                    .addBefore(last.name(), "encoder", new HttpRequestEncoder())
-                    .addBefore(last.name(), "http", connection);
-                return connection;
-            })
+            .map(socket -> over(((NetSocketInternal) socket).channelHandlerContext().pipeline(), side, mostBody))
             .onFailure(failure -> ConnectionLog.ended(side, address, isTimeout(failure)
                 ? CloseReason.CONNECT_TIMEOUT : CloseReason.CONNECT_FAILED));
     }
 
+    /** Carries messages over a connection that is open. */
+    static Outbound over(ChannelPipeline pipeline, String side, int mostBody) {
+        Framing.Answers decoder = new Framing.Answers();
+        Outbound connection = new Outbound(side, decoder, mostBody);
+        pipeline.addFirst(decoder, new HttpRequestEncoder(), connection);
+        return connection;
+    }
+
     private static boolean isTimeout(Throwable failure) {
         return failure instanceof ConnectTimeoutException || failure instanceof TimeoutException;
     }
--- /dev/null
+++ b/src/main/java/ottergauge/transport/Rehearsal.java
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.transport;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import ottergauge.DecisionApi.Repeat;
+import ottergauge.DecisionApi.RequestClass;
+import ottergauge.DecisionApi.ServerState;
+import ottergauge.protocol.Address;
+import ottergauge.protocol.Headers;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.HostList.Host;
+import ottergauge.protocol.NodeConfig;
+import ottergauge.routing.Effect;
+import ottergauge.routing.Event;
+import ottergauge.routing.Router;
+import ottergauge.routing.Timer;
+
+/**
+ * Serves made-up requests in memory before the node is ready: what it is made of, without a socket. A virtual
+ * machine that has just started runs the first requests many times slower than later ones. With part of a core
+ * a node that began cold lost half of its first five seconds' requests and could not catch up.
+ */
+public final class Rehearsal {
+
+    // The compiler takes up a method after some hundred calls; past this many requests little gets quicker.
+    private static final int REQUESTS = 3_000;
+    // Longer than this, being away costs a restarted node's peers more than its being warm spares them.
+    private static final long LONGEST = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final int SERVERS = 4;
+    // Every so many answers one is of another kind.
+    private static final int ODD = 50;
+    private static final String REPORT = "TEXT inflight=0, queue=0, util=0.1";
+    private static final byte[] SERVED = answer("200 OK", Headers.LOAD + ": " + REPORT + "\r\n");
+    private static final byte[] TURNED_AWAY = answer("503 Service Unavailable", Headers.NEVER_RAN + ": 1\r\n");
+
+    private final Clock clock = new Clock();
+    private final EventQueue events = new EventQueue(this::handle);
+    private final ClientSide clients = new ClientSide(events::take);
+    private final ServerSide servers = new ServerSide(this::connect, events::take);
+    private final List<EmbeddedChannel> opened = new ArrayList<>();
+    private final List<RequestClass> classes;
+    private final Router router;
+    private long answers;
+
+    private Rehearsal(NodeConfig config) {
+        classes = config.settings().classes();
+        List<Host> hosts = new ArrayList<>();
+        for (int i = 1; i <= SERVERS; i++) {
+            hosts.add(new Host("rehearsal-" + i, new Address("rehearsal", i), null, null, i, ServerState.UP, 1,
+                0));
+        }
+        router = new Router(new NodeConfig(config.name(), config.listen(), config.discovery(), config.seed(),
+            config.sockets(), new HostList(0, true, hosts), config.settings(), config.zones(), config.kinds(),
+            config.connectTimeout(), config.connectionIdle(), config.askWithin()), this::carryOut);
+    }
+
+    /** Runs until nothing gets much quicker any more, or it has taken too long; says how many were served. */
+    public static int run(NodeConfig config) {
+        Rehearsal rehearsal = new Rehearsal(config);
+        return rehearsal.play(System.nanoTime() + LONGEST);
+    }
+
+    private int play(long until) {
+        router.start(clock.micros());
+        EmbeddedChannel client = new EmbeddedChannel();
+        clients.adopt(client.pipeline());
+        int served = 0;
+        while (served < REQUESTS && System.nanoTime() < until) {
+            RequestClass type = classes.get(served % classes.size());
+            client.writeInbound(Unpooled.wrappedBuffer(request(type, ++served)));
+            while (answerAll()) {
+                // A probe's answer brings the request that it was for.
+            }
+            events.take(new Event.TimerFired(new Timer.Wake("tick")));
+            drain(client);
+        }
+        return served;
+    }
+
+    private boolean answerAll() {
+        boolean any = false;
+        for (int i = 0; i < opened.size(); i++) {
+            EmbeddedChannel server = opened.get(i);
+            if (!server.outboundMessages().isEmpty()) {
+                any = true;
+                drain(server);
+                server.writeInbound(Unpooled.wrappedBuffer(++answers % ODD == 0 ? TURNED_AWAY : SERVED));
+            }
+        }
+        return any;
+    }
+
+    private static void drain(EmbeddedChannel channel) {
+        for (Object out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
+            ReferenceCountUtil.release(out);
+        }
+    }
+
+    private static byte[] request(RequestClass type, int id) {
+        boolean safe = type.repeat() == Repeat.SAFE;
+        return ((safe ? "GET" : "POST") + " /api HTTP/1.1\r\nHost: rehearsal\r\n" + Headers.TRACE_ID + ": " + id
+            + "\r\n" + Headers.REQUEST_CLASS + ": " + type.name() + "\r\n" + Headers.EXPIRES_IN_MS + ": "
+            + type.deadline() / 1000 + "\r\n"
+            + (type.repeat() == Repeat.KEYED ? Headers.IDEMPOTENCY_KEY + ": " + id + "\r\n" : "")
+            + (safe ? "\r\n" : "Content-Length: 4\r\n\r\nbody")).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static byte[] answer(String status, String field) {
+        return ("HTTP/1.1 " + status + "\r\nContent-Length: " + REPORT.length() + "\r\n" + field + "\r\n" + REPORT)
+            .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private Future<Outbound> connect(Address address, long timeoutMs) {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        Outbound connection = Outbound.over(channel.pipeline(), "rehearsal", Headers.MOST_BODY);
+        opened.add(channel);
+        return Future.succeededFuture(connection);
+    }
+
+    private void handle(Event event) {
+        router.handle(clock.micros(), event);
+    }
+
+    // Timers, discovery and the listener have no part in it; what is closed leaves no log line.
+    private void carryOut(Effect effect) {
+        if (effect instanceof Effect.Respond e) {
+            clients.respond(e);
+        } else if (effect instanceof Effect.Connect e) {
+            servers.connect(e);
+        } else if (effect instanceof Effect.Forward e) {
+            servers.forward(e);
+        } else if (effect instanceof Effect.AskLoad e) {
+            servers.askLoad(e);
+        }
+    }
+}
--- a/src/main/java/ottergauge/transport/ServerSide.java
+++ b/src/main/java/ottergauge/transport/ServerSide.java
@@ -8,12 +8,12 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
-import io.vertx.core.Vertx;
-import io.vertx.core.net.NetClient;
+import io.vertx.core.Future;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import ottergauge.protocol.Address;
 import ottergauge.protocol.Content;
 import ottergauge.protocol.Headers;
 import ottergauge.protocol.LoadReports;
@@ -38,26 +38,30 @@
  */
 final class ServerSide {
 
-    private final NetClient client;
+    /** Opens a connection. */
+    interface Connector {
+        Future<Outbound> connect(Address address, long timeoutMs);
+    }
+
+    private final Connector connector;
     private final Consumer<Event> events;
     private final Map<Long, Outbound> connections = new HashMap<>();
 
-    ServerSide(Vertx vertx, Consumer<Event> events) {
+    ServerSide(Connector connector, Consumer<Event> events) {
         this.events = events;
-        client = vertx.createNetClient();
+        this.connector = connector;
     }
 
     void connect(Connect effect) {
         long number = effect.connection();
-        Outbound.connect(client, "server", effect.address(), millis(effect.timeout()), Headers.MOST_BODY)
-            .onComplete(connection -> {
-                connections.put(number, connection);
-                connection.whenEnded(why -> {
-                    connections.remove(number);
-                    events.accept(new ServerClosed(number, why == CloseReason.MALFORMED));
-                });
-                events.accept(new ServerConnected(number));
-            }, failure -> events.accept(new ConnectFailed(number)));
+        connector.connect(effect.address(), millis(effect.timeout())).onComplete(connection -> {
+            connections.put(number, connection);
+            connection.whenEnded(why -> {
+                connections.remove(number);
+                events.accept(new ServerClosed(number, why == CloseReason.MALFORMED));
+            });
+            events.accept(new ServerConnected(number));
+        }, failure -> events.accept(new ConnectFailed(number)));
     }
 
     void forward(Forward effect) {
