--- a/src/main/java/ottergauge/program/ServeCommand.java
+++ b/src/main/java/ottergauge/program/ServeCommand.java
@@ -36,9 +36,7 @@
             LOG.error("bad configuration {}: {}", configFile, e.toString());
             return 1;
         }
-        long rehearsedFrom = System.nanoTime();
-        int rehearsed = Rehearsal.run(config);
-        LOG.info("rehearsed {} requests in {} ms", rehearsed, (System.nanoTime() - rehearsedFrom) / 1_000_000);
+        LOG.info("rehearsed {} requests", Rehearsal.run(config).requests());
         NodeServer node = new NodeServer(config);
         // Unhandled, the signal would end the virtual machine.
         Signal.handle(new Signal("HUP"), hangUp -> reload(node));
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -48,8 +48,8 @@
         router = new Router(config, this::carryOut);
         clients = new ClientSide(events::take);
         NetClient client = vertx.createNetClient();
-        servers = new ServerSide((address, timeoutMs) -> Outbound.connect(client, "server", address, timeoutMs,
-            Headers.MOST_BODY), events::take);
+        servers = new ServerSide((address, timeoutMs) ->
+            Outbound.connect(client, "server", address, timeoutMs, Headers.MOST_BODY), events::take);
         discovery = new DiscoverySide(vertx, client, events::take);
     }
 
@@ -58,8 +58,9 @@
         Promise<Void> started = Promise.promise();
         context.runOnContext(run -> {
             router.start(clock.micros());
-            clients.listen(vertx, config.listen()).onSuccess(listening -> LOG.info("{} listens on {}", config.name(),
-                config.listen())).<Void>mapEmpty().onComplete(started);
+            clients.listen(vertx, config.listen())
+                .onSuccess(listening -> LOG.info("{} listens on {}", config.name(), config.listen()))
+                .<Void>mapEmpty().onComplete(started);
         });
         return started.future();
     }
--- a/src/main/java/ottergauge/transport/Outbound.java
+++ b/src/main/java/ottergauge/transport/Outbound.java
@@ -51,7 +51,8 @@
                                     int mostBody) {
         return client.connect(new ConnectOptions().setHost(address.host()).setPort(address.port())
                 .setTimeout((int) timeoutMs))
-            .map(socket -> over(((NetSocketInternal) socket).channelHandlerContext().pipeline(), side, mostBody))
+            .map(socket -> over(((NetSocketInternal) socket).channelHandlerContext().pipeline(), side,
+                mostBody))
             .onFailure(failure -> ConnectionLog.ended(side, address, isTimeout(failure)
                 ? CloseReason.CONNECT_TIMEOUT : CloseReason.CONNECT_FAILED));
     }
--- a/src/main/java/ottergauge/transport/Rehearsal.java
+++ b/src/main/java/ottergauge/transport/Rehearsal.java
@@ -23,9 +23,9 @@
 import ottergauge.routing.Timer;
 
 /**
- * Serves made-up requests in memory before the node is ready: what it is made of, without a socket. A virtual
- * machine that has just started runs the first requests many times slower than later ones. With part of a core
- * a node that began cold lost half of its first five seconds' requests and could not catch up.
+ * Serves made-up requests in memory before the node is ready: what it is made of, without a socket. A
+ * virtual machine that has just started runs the first requests many times slower than later ones. With
+ * part of a core a node that began cold lost half of its first five seconds' requests.
  */
 public final class Rehearsal {
 
@@ -33,12 +33,14 @@
     private static final int REQUESTS = 3_000;
     // Longer than this, being away costs a restarted node's peers more than its being warm spares them.
     private static final long LONGEST = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final int OK = 200;
     private static final int SERVERS = 4;
     // Every so many answers one is of another kind.
     private static final int ODD = 50;
     private static final String REPORT = "TEXT inflight=0, queue=0, util=0.1";
     private static final byte[] SERVED = answer("200 OK", Headers.LOAD + ": " + REPORT + "\r\n");
-    private static final byte[] TURNED_AWAY = answer("503 Service Unavailable", Headers.NEVER_RAN + ": 1\r\n");
+    private static final byte[] TURNED_AWAY =
+        answer("503 Service Unavailable", Headers.NEVER_RAN + ": 1\r\n");
 
     private final Clock clock = new Clock();
     private final EventQueue events = new EventQueue(this::handle);
@@ -48,40 +50,48 @@
     private final List<RequestClass> classes;
     private final Router router;
     private long answers;
+    private int served;
 
     private Rehearsal(NodeConfig config) {
         classes = config.settings().classes();
         List<Host> hosts = new ArrayList<>();
         for (int i = 1; i <= SERVERS; i++) {
-            hosts.add(new Host("rehearsal-" + i, new Address("rehearsal", i), null, null, i, ServerState.UP, 1,
-                0));
+            hosts.add(new Host("rehearsal-" + i, new Address("rehearsal", i), null, null, i,
+                ServerState.UP, 1, 0));
         }
         router = new Router(new NodeConfig(config.name(), config.listen(), config.discovery(), config.seed(),
             config.sockets(), new HostList(0, true, hosts), config.settings(), config.zones(), config.kinds(),
             config.connectTimeout(), config.connectionIdle(), config.askWithin()), this::carryOut);
     }
 
-    /** Runs until nothing gets much quicker any more, or it has taken too long; says how many were served. */
-    public static int run(NodeConfig config) {
-        Rehearsal rehearsal = new Rehearsal(config);
-        return rehearsal.play(System.nanoTime() + LONGEST);
+    /** How many requests were made, and how many of them were served. */
+    public record Played(int requests, int served) { }
+
+    /** Runs until nothing gets much quicker any more, or it has taken too long. */
+    public static Played run(NodeConfig config) {
+        return run(config, REQUESTS, LONGEST);
+    }
+
+    static Played run(NodeConfig config, int most, long longest) {
+        return new Rehearsal(config).play(most, longest);
     }
 
-    private int play(long until) {
+    private Played play(int most, long longest) {
+        long from = System.nanoTime();
         router.start(clock.micros());
         EmbeddedChannel client = new EmbeddedChannel();
         clients.adopt(client.pipeline());
-        int served = 0;
-        while (served < REQUESTS && System.nanoTime() < until) {
-            RequestClass type = classes.get(served % classes.size());
-            client.writeInbound(Unpooled.wrappedBuffer(request(type, ++served)));
+        int requests = 0;
+        while (requests < most && System.nanoTime() - from < longest) {
+            RequestClass type = classes.get(requests % classes.size());
+            client.writeInbound(Unpooled.wrappedBuffer(request(type, ++requests)));
             while (answerAll()) {
                 // A probe's answer brings the request that it was for.
             }
             events.take(new Event.TimerFired(new Timer.Wake("tick")));
             drain(client);
         }
-        return served;
+        return new Played(requests, served);
     }
 
     private boolean answerAll() {
@@ -105,16 +115,17 @@
 
     private static byte[] request(RequestClass type, int id) {
         boolean safe = type.repeat() == Repeat.SAFE;
-        return ((safe ? "GET" : "POST") + " /api HTTP/1.1\r\nHost: rehearsal\r\n" + Headers.TRACE_ID + ": " + id
-            + "\r\n" + Headers.REQUEST_CLASS + ": " + type.name() + "\r\n" + Headers.EXPIRES_IN_MS + ": "
+        return ((safe ? "GET" : "POST") + " /api HTTP/1.1\r\nHost: rehearsal\r\n"
+            + Headers.TRACE_ID + ": " + id + "\r\n" + Headers.REQUEST_CLASS + ": " + type.name() + "\r\n"
+            + Headers.EXPIRES_IN_MS + ": "
             + type.deadline() / 1000 + "\r\n"
             + (type.repeat() == Repeat.KEYED ? Headers.IDEMPOTENCY_KEY + ": " + id + "\r\n" : "")
             + (safe ? "\r\n" : "Content-Length: 4\r\n\r\nbody")).getBytes(StandardCharsets.ISO_8859_1);
     }
 
     private static byte[] answer(String status, String field) {
-        return ("HTTP/1.1 " + status + "\r\nContent-Length: " + REPORT.length() + "\r\n" + field + "\r\n" + REPORT)
-            .getBytes(StandardCharsets.ISO_8859_1);
+        return ("HTTP/1.1 " + status + "\r\nContent-Length: " + REPORT.length() + "\r\n" + field
+            + "\r\n" + REPORT).getBytes(StandardCharsets.ISO_8859_1);
     }
 
     private Future<Outbound> connect(Address address, long timeoutMs) {
@@ -131,6 +142,7 @@
     // Timers, discovery and the listener have no part in it; what is closed leaves no log line.
     private void carryOut(Effect effect) {
         if (effect instanceof Effect.Respond e) {
+            served += e.status() == OK ? 1 : 0;
             clients.respond(e);
         } else if (effect instanceof Effect.Connect e) {
             servers.connect(e);
