--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -13,7 +13,7 @@
 
 /**
  * Every decision of a node and nothing else. Its interface (settings, events, actions) is DecisionApi.java.
- * A deterministic state machine: an instant and an event go in, actions come out. The ordinary path is
+ * An instant and an event go in, actions come out; the same in, the same out. The ordinary path is
  * Per-Function Auto Weighted Round-Robin; docs/design.md lists the departures and says when each acts.
  */
 public final class Decide {
@@ -75,6 +75,8 @@
     // Bars double from the first to the last.
     private static final long FIRST_BAR = 100_000;
     private static final int MOST_STRIKES = 6;
+    // Of the requests given up on, the part that comes again: counted higher, refusals breed refusals.
+    private static final double ASKS_AGAIN = 0.5;
     // The part of the cold budget that is used: the guide is an estimate.
     private static final double COLD_CAUTION = 0.6;
     // Before it has answered, a cold server is hoped to do this multiple of the least it can do by now.
@@ -120,7 +122,6 @@
         int[] weight;
         double[] current;
         boolean candidate;
-        // Load and health.
         double load;
         long reportedAt = NEVER;
         long probedAt = NEVER;
@@ -135,7 +136,6 @@
         int errors;
         long barredUntil = NEVER;
         boolean lost;
-        // Warm-up.
         long coldSince = NEVER;
         long coldDrawnAt = NEVER;
         double coldDraw;
@@ -177,6 +177,7 @@
         final ArrayList<Attempt> out = new ArrayList<>(1);
         int attempts;
         Attempt firstThatMayHaveRun;
+        boolean repeat;
         boolean started;
         boolean over;
         boolean held;
@@ -229,6 +230,7 @@
     private final TreeSet<Request> heldByEnd = new TreeSet<>(BY_END);
     private final double[] shareUntil;
     private final long[] longestTry;
+    private double repeatsDue;
     private final boolean[] rowLive;
     private final double[] usual;
     private long sent;
@@ -313,6 +315,7 @@
         double worth = type.worth() * (withinShare(e.tenant()) ? 1 : settings.overShareWorth());
         Request q = new Request(e.id(), requestNumber++, type, Math.min(e.requestClass(), sharedRow),
             usefulUntil, worth);
+        q.repeat = again;
         requests.put(q.id, q);
         if (hopeless(q)) {
             giveUp(q);
@@ -330,16 +333,16 @@
 
     // Departure "repeats": a client's repeat is judged by the aim of its first try, which began one deadline
     // before the repeat's end. Taken for a new request, it draws work for an answer that is worth nothing.
-    // Where clients do not mark repeats, one shows by less time left than a first try has.
+    // Not marked, one has less time left and follows one given up on: by time alone, all the impatient are.
     private boolean isRepeat(RequestArrived e, RequestClass type) {
         if (settings.repeatsMarked()) {
             return e.clientRepeat();
         }
         long left = e.giveUpAt() - now;
-        if (left > longestTry[e.requestClass()]) {
-            longestTry[e.requestClass()] = left;
-        }
-        return left < longestTry[e.requestClass()] - settings.rules().answerSlack();
+        long longest = longestTry[e.requestClass()] = Math.max(longestTry[e.requestClass()], left);
+        boolean repeat = repeatsDue >= 1 && left < longest - settings.rules().answerSlack();
+        repeatsDue -= repeat ? 1 : 0;
+        return repeat;
     }
 
     // A tenant's requests past its share are worth little. Up to a second's, or two, may come at once.
@@ -377,6 +380,11 @@
         } else {
             sink.accept(new Fail(q.id));
         }
+        leave(q);
+    }
+
+    private void leave(Request q) {
+        repeatsDue += q.repeat ? ASKS_AGAIN / 2 : ASKS_AGAIN;
         end(q);
     }
 
@@ -399,7 +407,7 @@
     private void clientGone(ClientGone e) {
         Request q = requests.get(e.id());
         if (q != null && !q.over) {
-            end(q);
+            leave(q);
         }
     }
 
@@ -461,9 +469,8 @@
         sent = 0;
         meanOut = (outTime - outTimeBefore) / WINDOW;
         outTimeBefore = outTime;
-        while (now >= windowEnd) {
-            windowEnd += WINDOW;
-        }
+        windowEnd += ((now - windowEnd) / WINDOW + 1) * WINDOW;
+        repeatsDue /= 2;
         for (Server s : servers) {
             for (int row = 0; s.sum != null && row <= sharedRow; row++) {
                 if (s.count[row] > 0) {
@@ -522,25 +529,19 @@
         int samples = 0;
         int answers = 0;
         for (Server s : subset) {
-            if (s.mean[row] > 0) {
-                known += s.mean[row];
-                samples++;
-                answers += s.answers[row];
-            }
+            known += s.mean[row];
+            samples += s.mean[row] > 0 ? 1 : 0;
+            answers += s.answers[row];
         }
         // A row of a few answers is chance: until it has some of each server, the shared one is borrowed.
         rowLive[row] = answers >= ROW_ANSWERS * subset.size();
         double others = samples > 0 ? known / samples : 1;
-        double largest = others;
-        for (Server s : subset) {
-            largest = Math.max(largest, s.mean[row]);
-        }
         double raw = 0;
         for (Server s : subset) {
-            raw += largest / meanOr(s, row, others);
+            raw += 1 / meanOr(s, row, others);
         }
         for (Server s : subset) {
-            s.weight[row] = Math.max(1, (int) (largest / meanOr(s, row, others) / raw * WEIGHT_TOTAL));
+            s.weight[row] = Math.max(1, (int) (1 / meanOr(s, row, others) / raw * WEIGHT_TOTAL));
         }
     }
 
@@ -548,10 +549,6 @@
         return s.mean[row] > 0 ? s.mean[row] : others;
     }
 
-    private int liveRow(Request q) {
-        return rowLive[q.row] ? q.row : sharedRow;
-    }
-
     // The next server of the rotation for a request, or null if none has room. The turn is not taken yet.
     private Server next(Request q) {
         double mean = out.size() / (double) Math.max(1, subset.size());
@@ -568,7 +565,7 @@
                 least = Math.min(least, crowd(s));
             }
         }
-        int row = liveRow(q);
+        int row = rowLive[q.row] ? q.row : sharedRow;
         Server best = null;
         for (Server s : subset) {
             // Departure "reported skip": a server known to hold more than the least is skipped.
@@ -720,7 +717,7 @@
     }
 
     private void send(Request q, Server s) {
-        takeTurn(s, liveRow(q));
+        takeTurn(s, rowLive[q.row] ? q.row : sharedRow);
         release(q);
         Attempt a = new Attempt(q, q.attempts++, s, now, Math.max(s.load, s.out.size()));
         q.out.add(a);
@@ -785,14 +782,9 @@
             case SERVED -> {
                 sample(s, a.request.row, e.elapsed());
                 answered(s);
-                s.strikes = 0;
-                s.errors = 0;
+                s.strikes = s.errors = 0;
                 learn(s, a, e.elapsed());
             }
-            case CONNECT_FAILED, RESET -> {
-                s.lost = true;
-                strike(s);
-            }
             case TIMED_OUT -> {
                 learn(s, a, e.elapsed());
                 // One of hundreds of nodes sees a jammed or hung server by this alone; a rest mends it.
@@ -800,16 +792,22 @@
                     strike(s);
                 }
             }
-            case ERROR -> {
-                if (++s.errors >= ERRORS_IN_A_ROW && !manyBarred()) {
-                    strike(s);
-                }
+            case CONNECT_FAILED, RESET -> {
+                s.lost = true;
+                strike(s);
             }
+            case ERROR -> failed(s);
             case REJECTED -> s.barredUntil = Math.max(s.barredUntil, now + (long) (service / 2));
             default -> { }
         }
     }
 
+    private void failed(Server s) {
+        if (++s.errors >= ERRORS_IN_A_ROW && !manyBarred()) {
+            strike(s);
+        }
+    }
+
     // What an attempt took, at the least: left out, those that ran out of time hide that all is slow.
     private void learn(Server s, Attempt a, long elapsed) {
         int row = a.request.row;
@@ -925,6 +923,8 @@
             trip = blend(trip, e.elapsed());
             report(s, e.report(), 0);
             answered(s);
+        } else if (e.result() == Result.ERROR) {
+            failed(s);
         } else {
             s.lost |= e.result() == Result.CONNECT_FAILED || e.result() == Result.RESET;
             strike(s);
--- a/src/main/java/ottergauge/program/Main.java
+++ b/src/main/java/ottergauge/program/Main.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.program;
 
+import java.nio.file.Path;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -16,8 +17,13 @@
     @Spec
     private CommandSpec spec;
 
-    public static void main(String[] args) {
-        System.exit(new CommandLine(new Main()).execute(args));
+    public static void main(String[] args) throws InterruptedException {
+        String config = System.getenv("BALANCER_CONFIG");
+        // Building its model of the command line takes picocli 0.24 s of CPU, with half a core half a second
+        // by which a restarted node is missed longer: the usual start has nothing to be parsed.
+        boolean usual = config != null && args.length == 1 && "serve".equals(args[0]);
+        System.exit(usual ? new ServeCommand(Path.of(config)).call()
+            : new CommandLine(new Main()).execute(args));
     }
 
     @Override
--- a/src/main/java/ottergauge/program/ServeCommand.java
+++ b/src/main/java/ottergauge/program/ServeCommand.java
@@ -27,6 +27,13 @@
         description = "The node's configuration, as JSON; $BALANCER_CONFIG unless given.")
     private Path configFile;
 
+    ServeCommand() {
+    }
+
+    ServeCommand(Path configFile) {
+        this.configFile = configFile;
+    }
+
     @Override
     public Integer call() throws InterruptedException {
         NodeConfig config;
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -269,10 +269,12 @@
     }
 
     // A server begins a request when its last byte has come: before that is written nothing can have run.
-    // One that answers what cannot be read is alive all the same: taken for one that died and came back, it
-    // would be held to a cold server's budget.
+    // What cannot be read, or a kept connection that breaks, does not tell that the server died. Taken for
+    // one that did and came back, it would be barred and then held to a cold server's budget: on a day of
+    // stale connections all servers were. The next attempt's new connection tells.
     private static Result broken(Job job, boolean spoilt) {
-        return !job.written ? Result.CONNECT_FAILED : spoilt ? Result.ERROR : Result.RESET;
+        return !job.written ? Result.CONNECT_FAILED
+            : spoilt || job.connection.kept ? Result.ERROR : Result.RESET;
     }
 
     private void ended(Job job, Result result) {
--- a/src/main/java/ottergauge/routing/ServerConnection.java
+++ b/src/main/java/ottergauge/routing/ServerConnection.java
@@ -7,6 +7,8 @@
     final Upstream upstream;
     /** What it carries, or null. */
     Job job;
+    /** Whether it has carried an answer before. */
+    boolean kept;
     long idleSince;
 
     ServerConnection(long number, Upstream upstream) {
--- a/src/main/java/ottergauge/routing/Upstreams.java
+++ b/src/main/java/ottergauge/routing/Upstreams.java
@@ -174,6 +174,7 @@
         }
         Job job = connection.job;
         connection.job = null;
+        connection.kept = true;
         if (reusable && job.written) {
             rest(now, connection);
         } else {
--- a/src/test/java/ottergauge/DeparturesTest.java
+++ b/src/test/java/ottergauge/DeparturesTest.java
@@ -187,6 +187,13 @@
         TestSettings settings = new TestSettings();
         settings.repeatsMarked = false;
         Node node = warm(settings, 2, 10, 50 * MS);
+        // Nothing was given up on: these are first tries of clients that will not wait for long.
+        for (int i = 0; i < 2; i++) {
+            assertEquals(1, Node.those(Send.class,
+                node.arrive("short" + i, 0, node.now + 900 * MS, false)).size());
+            node.on(new ClientGone("short" + i));
+        }
+        // Two were: one that comes with less time left has most likely been here before.
         assertEquals(1, Node.those(Refuse.class, node.arrive("late", 0, node.now + 900 * MS, false)).size());
     }
 
@@ -296,6 +303,16 @@
         assertEquals(second.server(), Node.only(Send.class, node.probed(second.server(), 0)).server());
     }
 
+    @Test
+    void oneProbeThatFailedBarsNoServerAndTwoDo() {
+        Node node = warm(probing(), 1, 30, 50 * MS);
+        node.now += 1_000 * MS;
+        long server = Node.only(Probe.class, node.arrive("q")).server();
+        ProbeEnded failed = new ProbeEnded(server, Result.ERROR, MS, LoadReport.NONE);
+        assertEquals(server, Node.only(Probe.class, node.on(failed)).server());
+        assertEquals(List.of(), Node.those(Probe.class, node.on(failed)));
+    }
+
     @Test
     void aCommonSlowSpellStopsQueueingBehindOthers() {
         Node node = warm(probing(), 2, 40, 100 * MS);
--- a/src/test/java/ottergauge/routing/RouterDriver.java
+++ b/src/test/java/ottergauge/routing/RouterDriver.java
@@ -112,6 +112,18 @@
         return expect(Forward.class);
     }
 
+    /** A new client's request, written to a connection that is opened for it. */
+    Forward connectToNew(String requestClass) {
+        request(requestClass);
+        return connectNext();
+    }
+
+    /** A new client's request, written to a connection that was kept. */
+    Forward sendAgain(String requestClass) {
+        request(requestClass);
+        return expect(Forward.class);
+    }
+
     void refuseNext() {
         tell(new Event.ConnectFailed(expect(Connect.class).connection()));
     }
--- a/src/test/java/ottergauge/routing/RouterTest.java
+++ b/src/test/java/ottergauge/routing/RouterTest.java
@@ -380,6 +380,20 @@
         assertEquals(3, node.expect(Effect.NotTaken.class).before());
     }
 
+    @Test
+    void aKeptConnectionThatBreaksBarsNoServerAndANewOneThatBreaksDoes() {
+        RouterDriver node = one();
+        node.serve(node.connectToNew("grant"));
+        Forward kept = node.sendAgain("grant");
+        node.written(kept);
+        node.tell(new Event.ServerClosed(kept.connection(), false));
+        Forward fresh = node.connectToNew("grant");
+        node.written(fresh);
+        node.tell(new Event.ServerClosed(fresh.connection(), false));
+        node.request("grant");
+        node.expectNo(Connect.class);
+    }
+
     @Test
     void aServerThatAnsweredWhatCannotBeReadIsNotTakenForOneThatDied() {
         RouterDriver node = one();
