--- a/src/main/java/ottergauge/transport/Rehearsal.java
+++ b/src/main/java/ottergauge/transport/Rehearsal.java
@@ -31,7 +31,7 @@
 public final class Rehearsal {
 
     // The compiler takes up a method after some hundred calls; past this many requests little gets quicker.
-    private static final int REQUESTS = 1_000;
+    private static final int REQUESTS = 200;
     // Longer than this, being away costs a restarted node's peers more than its being warm spares them.
     private static final long LONGEST = TimeUnit.MILLISECONDS.toNanos(1_000);
     private static final int OK = 200;
