Connections that take far longer than others are given up

Cause: on zone+vast 405 to 573 connections to the lost zone ended as CONNECT_TIMEOUT after the settings' 200 ms, with an aim of 140: each such request had never run and was lost all the same. A connection there takes 1 to 2 ms. Lines: Upstreams.start handed on connectTimeout whatever earlier connections took.

Change: ConnectPatience, the estimator of TCP's retransmission time-out (RFC 6298) over connections that came up, with four times that as patience, 20 ms at the least and connectTimeout at the most; eight given up in a row with none made double it. Tests: ConnectPatienceTest, with a router that gives up early.

--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -124,7 +124,7 @@
         } else if (event instanceof Event.ServerConnected e) {
             upstreams.connected(now, e.connection());
         } else if (event instanceof Event.ConnectFailed e) {
-            upstreams.connectFailed(e.connection()).ifPresent(job -> ended(job, Result.CONNECT_FAILED));
+            upstreams.connectFailed(now, e.connection()).ifPresent(job -> ended(job, Result.CONNECT_FAILED));
         } else if (event instanceof Event.ServerClosed e) {
             upstreams.closed(e.connection()).ifPresent(job -> ended(job, broken(job, e.spoilt())));
         } else if (event instanceof Event.ListRead e) {
--- a/src/main/java/ottergauge/routing/ServerConnection.java
+++ b/src/main/java/ottergauge/routing/ServerConnection.java
@@ -5,14 +5,16 @@
 final class ServerConnection {
     final long number;
     final Upstream upstream;
+    final long openedAt;
     /** What it carries, or null. */
     Job job;
     /** Whether it has carried an answer before. */
     boolean kept;
     long idleSince;
 
-    ServerConnection(long number, Upstream upstream) {
+    ServerConnection(long number, Upstream upstream, long openedAt) {
         this.number = number;
         this.upstream = upstream;
+        this.openedAt = openedAt;
     }
 }
--- a/src/main/java/ottergauge/routing/Upstreams.java
+++ b/src/main/java/ottergauge/routing/Upstreams.java
@@ -28,7 +28,7 @@
     // request that is being written, which would end as a reset.
     private static final double IDLE_PART = 0.75;
 
-    private final long connectTimeout;
+    private final ConnectPatience patience;
     private final long idleFor;
     private final Consumer<Effect> effects;
     private final Map<Long, Upstream> byServer = new HashMap<>();
@@ -38,7 +38,7 @@
     private long lastNumber;
 
     Upstreams(long connectTimeout, long serverIdle, Consumer<Effect> effects) {
-        this.connectTimeout = connectTimeout;
+        patience = new ConnectPatience(connectTimeout);
         this.idleFor = (long) (serverIdle * IDLE_PART);
         this.effects = effects;
     }
@@ -115,10 +115,10 @@
         }
         upstream.waiting.add(job);
         if (upstream.connecting < upstream.waiting.size()) {
-            ServerConnection connection = new ServerConnection(++lastNumber, upstream);
+            ServerConnection connection = new ServerConnection(++lastNumber, upstream, now);
             connections.put(connection.number, connection);
             upstream.connecting++;
-            effects.accept(new Connect(connection.number, upstream.dial, connectTimeout));
+            effects.accept(new Connect(connection.number, upstream.dial, patience.limit()));
         }
     }
 
@@ -143,16 +143,18 @@
         if (connection == null) {
             return;
         }
+        patience.connected(now - connection.openedAt);
         connection.upstream.connecting--;
         rest(now, connection);
     }
 
     /** Gives back the job that has no connection to wait for any more. */
-    Optional<Job> connectFailed(long number) {
+    Optional<Job> connectFailed(long now, long number) {
         ServerConnection connection = connections.remove(number);
         if (connection == null) {
             return Optional.empty();
         }
+        patience.failed(now - connection.openedAt);
         Upstream upstream = connection.upstream;
         upstream.connecting--;
         return upstream.waiting.size() > upstream.connecting ? Optional.of(upstream.waiting.poll())
--- /dev/null
+++ b/src/test/java/ottergauge/routing/ConnectPatienceTest.java
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static ottergauge.protocol.TestConfig.host;
+
+import org.junit.jupiter.api.Test;
+import ottergauge.protocol.TestConfig;
+import ottergauge.routing.Effect.Connect;
+
+class ConnectPatienceTest {
+
+    private static final long MOST = 200_000;
+
+    private static ConnectPatience used(int connections, long took) {
+        ConnectPatience patience = new ConnectPatience(MOST);
+        for (int i = 0; i < connections; i++) {
+            patience.connected(took);
+        }
+        return patience;
+    }
+
+    @Test
+    void beforeOneHasComeUpTheSettingsCount() {
+        assertEquals(MOST, new ConnectPatience(MOST).limit());
+    }
+
+    /** At a machine that is cut off, a request lost 200 of its 140 ms waiting for a connection. */
+    @Test
+    void itFollowsWhatConnectionsTake() {
+        assertTrue(used(20, 1_000).limit() <= MOST / 5);
+        assertTrue(used(20, 15_000).limit() > 30_000);
+    }
+
+    @Test
+    void itNeverPassesTheSettings() {
+        assertEquals(MOST, used(20, 150_000).limit());
+    }
+
+    /** Without it, connections that have become slow for good would all be given up. */
+    @Test
+    void manyGivenUpWithNoneMadeMakeItLonger() {
+        ConnectPatience patience = used(20, 1_000);
+        long before = patience.limit();
+        for (int i = 0; i < 8; i++) {
+            patience.failed(before);
+        }
+        assertTrue(patience.limit() >= 2 * before);
+        patience.connected(1_000);
+        assertEquals(before, patience.limit(), before / 4.0);
+    }
+
+    @Test
+    void oneThatIsRefusedAtOnceSaysNothing() {
+        ConnectPatience patience = used(20, 1_000);
+        long before = patience.limit();
+        for (int i = 0; i < 100; i++) {
+            patience.failed(500);
+        }
+        assertEquals(before, patience.limit());
+    }
+
+    @Test
+    void theRouterGivesUpAConnectionThatTakesFarLongerThanOthers() {
+        String server = host("s-1", "10.0.0.1:80", "in_service");
+        RouterDriver node = new RouterDriver(new TestConfig().knows(server));
+        for (int i = 0; i < 8; i++) {
+            node.request("read");
+            Connect connect = node.expect(Connect.class);
+            node.pass(1);
+            node.tell(new Event.ServerConnected(connect.connection()));
+            Effect.Forward forward = node.expect(Effect.Forward.class);
+            node.written(forward);
+            node.answer(forward, 200, false, false);
+        }
+        node.request("read");
+        assertTrue(node.expect(Connect.class).timeout() < MOST / 2);
+    }
+}
