Where loads are heard the first error bars a server, for four of its turns

Two lines to blame: ERRORS_IN_A_ROW asks for two, which at a request a second a server takes each node seconds; and `strike` begins with bars of 0.1 s, since no window has told a rate before 5 s, so that each node tried such a server six times in 5 s. What a failing server reports, an empty queue, drew more. A served answer cleared all strikes, so one that fails in part was never barred for longer.

Change, only where loads are heard: the first error bars, for four times the time between two sends to a server, by the rate so far until a window has ended; an error's report is not believed; an answer halves the strikes. Each guard's test in HearsayTest was seen to fail without it.

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -77,6 +77,8 @@
     private static final double FIRST_ROOM = 2;
     // Departure "errors": so many in a row bar a server. One that fails at once looks idle and draws sends.
     private static final int ERRORS_IN_A_ROW = 2;
+    // Where loads are heard a bar for an error begins so far up: a trial costs a request, a server of many little.
+    private static final int HEARD_ERROR = 2;
     // Bars double from the first to the last.
     private static final long FIRST_BAR = 100_000;
     private static final int MOST_STRIKES = 6;
@@ -774,7 +776,10 @@
         s.out.remove(a);
         out.remove(a);
         s.load = Math.max(0, s.load - 1);
-        report(s, e.report(), e.result() == Result.SERVED ? 1 : 0);
+        // Heard of a server that fails at once, an empty queue would draw the traffic to it.
+        if (!hears || e.result() == Result.SERVED) {
+            report(s, e.report(), e.result() == Result.SERVED ? 1 : 0);
+        }
         judge(s, a, e);
         rest(s, e.elapsed());
         if (!e.result().neverRan() && q.firstThatMayHaveRun == null) {
@@ -805,7 +810,9 @@
             case SERVED -> {
                 sample(s, a.request.row, e.elapsed());
                 answered(s);
-                s.strikes = s.errors = 0;
+                // One that fails some of its requests would begin anew after each that it serves.
+                s.strikes = hears ? s.strikes / 2 : 0;
+                s.errors = 0;
                 learn(s, a, e.elapsed());
             }
             case TIMED_OUT -> {
@@ -826,7 +833,9 @@
     }
 
     private void failed(Server s) {
-        if (++s.errors >= ERRORS_IN_A_ROW && !manyBarred()) {
+        // A node that meets a server once in a while is told by the first error, or it learns of it too late.
+        if (++s.errors >= (hears ? 1 : ERRORS_IN_A_ROW) && !manyBarred()) {
+            s.strikes = hears ? Math.max(s.strikes, HEARD_ERROR) : s.strikes;
             strike(s);
         }
     }
@@ -926,7 +935,8 @@
             return;
         }
         // A bar shorter than the time between two sends to a server is none.
-        double turn = pooled && !sounds && sendRate > 0 ? Math.max(FIRST_BAR, 1 / sendRate) : FIRST_BAR;
+        boolean seldom = pooled && !sounds && sendRate > 0 || hears;
+        double turn = seldom ? Math.max(FIRST_BAR, 1 / rate()) : FIRST_BAR;
         long bar = (long) Math.min(FIRST_BAR << MOST_STRIKES, turn * (1 << s.strikes));
         s.barredUntil = now + bar / 2 + random.nextLong(bar);
         s.strikes = Math.min(MOST_STRIKES, s.strikes + 1);
@@ -936,6 +946,12 @@
         }
     }
 
+    // The sends to a server, by the last window or, before one has ended, by this one.
+    private double rate() {
+        double part = sent / (double) (WINDOW - (windowEnd - now) + 1) / Math.max(1, subset.size());
+        return sendRate > 0 ? sendRate : Math.max(part, 1.0 / WINDOW);
+    }
+
     private void probeEnded(ProbeEnded e) {
         Server s = byId.get(e.server());
         if (s == null) {
--- a/src/test/java/ottergauge/HearsayTest.java
+++ b/src/test/java/ottergauge/HearsayTest.java
@@ -2,6 +2,7 @@
 package ottergauge;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -10,7 +11,9 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import ottergauge.DecisionApi.AttemptEnded;
 import ottergauge.DecisionApi.Probe;
+import ottergauge.DecisionApi.Result;
 import ottergauge.DecisionApi.Send;
 
 /** Loads that come with answers, where probes cost more than they are worth. */
@@ -105,4 +108,40 @@
         }
         assertTrue(Node.those(Probe.class, node.all).isEmpty());
     }
+
+    /**
+     * One that fails at once looks idle. With two errors in a row to learn it by, at a request a second, each
+     * node sent it some before it was barred, and a bar of 0.1 s was over before the next one came.
+     */
+    @Test
+    void oneErrorKeepsAServerOutForItsTurn() {
+        Node node = told(0, 0, 0, 0);
+        serveFor(node, 12_000 * MS, 500 * MS);
+        long failing = Node.only(Send.class, node.arrive("bad")).server();
+        node.on(new AttemptEnded("bad", 0, failing, Result.ERROR, MS, true, Node.IDLE));
+        List<Long> used = serveFor(node, 900 * MS, 30 * MS);
+        assertFalse(used.contains(failing), "used " + used);
+        assertTrue(serveFor(node, 10_000 * MS, 100 * MS).contains(failing), "and is used again");
+    }
+
+    @Test
+    void theEmptyQueueOfAServerThatFailsIsNotBelieved() {
+        Node node = told(2, 2, 2, 2);
+        Send bad = Node.only(Send.class, node.arrive("bad"));
+        node.on(new AttemptEnded("bad", 0, bad.server(), Result.ERROR, MS, true, Node.IDLE));
+        node.now += 4_000 * MS / 10;
+        assertNotEquals(bad.server(), Node.only(Send.class, node.arrive("next")).server());
+    }
+
+    private static List<Long> serveFor(Node node, long span, long gap) {
+        List<Long> used = new ArrayList<>();
+        for (long end = node.now + span; node.now < end; node.now += gap) {
+            String id = "s" + node.now;
+            Send send = Node.only(Send.class, node.arrive(id));
+            used.add(send.server());
+            node.now += MS;
+            node.answered(id, send.server(), SERVICE, 0);
+        }
+        return used;
+    }
 }
