--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -77,7 +77,8 @@
     private static final double FIRST_ROOM = 2;
     // Departure "errors": so many in a row bar a server. One that fails at once looks idle and draws sends.
     private static final int ERRORS_IN_A_ROW = 2;
-    // Where loads are heard a bar for an error begins so far up: a trial costs a request, a server of many little.
+    // Where loads are heard a bar for an error begins so far up: a trial costs a request, and one server of
+    // many little.
     private static final int HEARD_ERROR = 2;
     // Bars double from the first to the last.
     private static final long FIRST_BAR = 100_000;
--- a/src/main/java/ottergauge/transport/Rehearsal.java
+++ b/src/main/java/ottergauge/transport/Rehearsal.java
@@ -34,8 +34,9 @@
     private static final int MOST = 1_000;
     // Fewer leave most classes to be loaded under the first client's request.
     private static final int LEAST = 100;
-    // What all nodes rehearse together. One of three that starts cold spoils a third of all requests: better it is
-    // away for some time more. Of many, each counts for little, and what hurts is that most are away at once.
+    // What all nodes rehearse together. One of three that starts cold spoils a third of all requests: better
+    // it is away for some time more. Of many, each counts for little, and what hurts is that most are away
+    // at once.
     private static final int BY_ALL = 3_000;
     // Longer than this, being away costs a restarted node's peers more than its being warm spares them.
     private static final long LONGEST = TimeUnit.MILLISECONDS.toNanos(3_000);
