--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -60,6 +60,8 @@
     private static final double LATE_PART = 2;
     // A sounded server that has not answered for this multiple of the usual trip is mute.
     private static final double MUTE_TRIPS = 4;
+    // The trip to a zone that no probe has come back from.
+    private static final double FIRST_TRIP = 1_000;
     // Silence is proven when this many answers should have come and none did: e^-5 is under 1 in 100.
     private static final double SILENT_ANSWERS = 5;
     // One attempt proves no more than this: a costly request also makes a server look silent.
@@ -248,7 +250,7 @@
     private double pace;
     private long sentAt;
     private double service;
-    private double trip = 1_000;
+    private final Map<Integer, Double> trips = new HashMap<>();
     private long requestNumber;
     private long windowEnd = NEVER;
     private long lookAt = NEVER;
@@ -662,18 +664,28 @@
     // less, until the server stands at the mean of all.
     private double believed(Server s) {
         double trust = s.reportedAt == NEVER ? 0
-            : Math.exp((s.reportedAt - now) / (FORGET_SERVICES * Math.max(trip, service)));
+            : Math.exp((s.reportedAt - now) / (FORGET_SERVICES * Math.max(tripTo(s), service)));
         return meanLoad + trust * (s.load - meanLoad);
     }
 
     private boolean known(Server s) {
         long age = now - s.reportedAt;
-        return age <= FRESH_PART * Math.max(service, trip)
+        return age <= FRESH_PART * Math.max(service, tripTo(s))
             || s.load >= 1 && age <= BUSY_PART * s.load * service;
     }
 
     private boolean mute(Server s) {
-        return s.probing && now - s.probedAt > MUTE_TRIPS * trip;
+        return s.probing && now >= muteAt(s);
+    }
+
+    // An answer is only heard with the next round, and from a far zone later than from a near one.
+    private long muteAt(Server s) {
+        double trip = tripTo(s);
+        return s.probedAt + (long) Math.max(MUTE_TRIPS * trip, trip + 2 * settings.round()) + 1;
+    }
+
+    private double tripTo(Server s) {
+        return trips.getOrDefault(s.entry.zone(), FIRST_TRIP);
     }
 
     // Takes a load report; one that came with an answer still counts the attempt that it answered.
@@ -960,7 +972,7 @@
         }
         s.probing = false;
         if (e.result() == Result.SERVED) {
-            trip = blend(trip, e.elapsed());
+            trips.merge(s.entry.zone(), (double) e.elapsed(), Decide::blend);
             report(s, e.report(), 0);
             answered(s);
         } else if (e.result() == Result.ERROR) {
@@ -1114,7 +1126,7 @@
             at = Math.min(at, heldByEnd.first().usefulUntil);
             Request q = held.first();
             if (q.sounding != null && q.sounding.probing && !mute(q.sounding)) {
-                at = Math.min(at, q.sounding.probedAt + (long) (MUTE_TRIPS * trip) + 1);
+                at = Math.min(at, muteAt(q.sounding));
             } else if (sounds) {
                 at = Math.min(at, now + (long) (FRESH_PART * service) + 1_000);
             }
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -43,9 +43,12 @@
     /** What is taken off the result for each unit: a probe a request; 100 open connections a server. */
     public record Prices(double probe, double connection) { }
 
-    /** All that a node is told at its start. {@code repeatsMarked}: clients mark their repeats. */
-    public record Settings(int node, int nodes, int zone, Discovery discovery, boolean reportsLoad,
-                           boolean repeatsMarked, double overShareWorth, Limits limits, Rules rules,
+    /**
+     * All that a node is told at its start. {@code round}: the least span between two instants at which it
+     * hears anything; {@code repeatsMarked}: clients mark their repeats.
+     */
+    public record Settings(int node, int nodes, int zone, long round, Discovery discovery,
+                           boolean reportsLoad, boolean repeatsMarked, double overShareWorth, Limits limits, Rules rules,
                            Prices prices, List<RequestClass> classes, List<Tenant> tenants) { }
 
     // ---- Events ---------------------------------------------------------------------------------
--- a/src/main/java/ottergauge/settings/SettingsReader.java
+++ b/src/main/java/ottergauge/settings/SettingsReader.java
@@ -31,7 +31,7 @@
         List<?> fields = root.child("reporting").list("fields");
         boolean reports = !"off".equals(root.child("reporting").text("how", "off"));
         return new Settings((int) root.number("me", 0), Math.max(1, (int) root.number("balancers", 1)),
-            root.list("zones").indexOf(root.text("zone", "")),
+            root.list("zones").indexOf(root.text("zone", "")), root.micros("roundMs", 1),
             "pushed".equals(root.text("registryMode", "")) ? Discovery.PUSHED : Discovery.ON_REQUEST,
             reports && fields.contains("outstanding"), root.child("clients").flag("marksRetry"),
             root.number("overShareWorth", 1),
--- a/src/test/java/ottergauge/TestSettings.java
+++ b/src/test/java/ottergauge/TestSettings.java
@@ -20,6 +20,7 @@
     boolean repeatsMarked = true;
     int node;
     int nodes = 1;
+    long round = 1_000;
     double connectionPrice;
     int maxAttempts = 5;
     List<RequestClass> classes = List.of(type(Repeat.SAFE, Group.ALL));
@@ -44,7 +45,7 @@
     }
 
     Settings build() {
-        return new Settings(node, nodes, 0, discovery, probes, repeatsMarked, 0.1,
+        return new Settings(node, nodes, 0, round, discovery, probes, repeatsMarked, 0.1,
             new Limits(probes, peers, true, true, maxAttempts, 600_000),
             new Rules(5_000, 500_000, 0.2, 10_000_000, 3, 1_000_000), new Prices(probePrice, connectionPrice),
             classes, tenants);
