--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -182,8 +182,10 @@
         final long number;
         final RequestClass type;
         final int row;
+        // The end of its worth, and of what is worked for now: the aim or, once that is past, the same.
         final long usefulUntil;
-        final double worth;
+        long end;
+        double worth;
         final ArrayList<Attempt> out = new ArrayList<>(1);
         int attempts;
         Attempt firstThatMayHaveRun;
@@ -196,18 +198,19 @@
         long probeAt = NEVER;
         Server avoid;
 
-        Request(String id, long number, RequestClass type, int row, long usefulUntil, double worth) {
+        Request(String id, long number, RequestClass type, int row, long aimAt, long usefulUntil, double worth) {
             this.id = id;
             this.number = number;
             this.type = type;
             this.row = row;
             this.usefulUntil = usefulUntil;
+            this.end = aimAt;
             this.worth = worth;
         }
     }
 
     private static final Comparator<Request> BY_END =
-        Comparator.comparingLong((Request q) -> q.usefulUntil).thenComparingLong(q -> q.number);
+        Comparator.comparingLong((Request q) -> q.end).thenComparingLong(q -> q.number);
     private static final Comparator<Request> BY_WORTH =
         Comparator.comparingDouble((Request q) -> -q.worth).thenComparing(BY_END);
 
@@ -326,7 +329,7 @@
         long usefulUntil = Math.max(now, type.lateWorth() > 0 ? e.giveUpAt() : Math.min(aimAt, e.giveUpAt()));
         double worth = type.worth() * (withinShare(e.tenant()) ? 1 : settings.overShareWorth());
         Request q = new Request(e.id(), requestNumber++, type, Math.min(e.requestClass(), sharedRow),
-            usefulUntil, worth);
+            Math.min(Math.max(now, aimAt), usefulUntil), usefulUntil, worth);
         q.repeat = again;
         requests.put(q.id, q);
         if (hopeless(q)) {
@@ -340,7 +343,7 @@
     // backlog, take longer than this one can wait. Held all the same, it would wait long to be refused.
     private boolean hopeless(Request q) {
         return !sounds && pace > 0 && !held.isEmpty()
-            && held.headSet(q).size() * pace > q.usefulUntil - needed(q) - now;
+            && held.headSet(q).size() * pace > q.end - needed(q) - now;
     }
 
     // Departure "repeats": a client's repeat is judged by the aim of its first try, which began one deadline
@@ -646,7 +649,7 @@
             return true;
         }
         double needed = (crowd(s) + 1) * serviceOf(s);
-        return needed <= FIT_PART * (q.usefulUntil - now) || crowd(s) < 1 && warmth(s, now) >= 1;
+        return needed <= FIT_PART * (q.end - now) || crowd(s) < 1 && warmth(s, now) >= 1;
     }
 
     private double crowd(Server s) {
@@ -718,7 +721,7 @@
                 send(q, s);
             } else if (q.sounding == null || !q.sounding.probing || mute(q.sounding)) {
                 q.sounding = s;
-                q.probeAt = now + (q.usefulUntil - now) / Math.max(1, mostProbes - q.probes);
+                q.probeAt = now + (q.end - now) / Math.max(1, mostProbes - q.probes);
                 q.probes++;
                 if (!s.probing) {
                     s.probing = true;
@@ -732,12 +735,29 @@
     // A held request that can no longer be served in time gets its answer at once.
     private void expire() {
         while (!heldByEnd.isEmpty() && doomed(heldByEnd.first())) {
-            giveUp(heldByEnd.first());
+            Request q = heldByEnd.first();
+            if (untouched(q) && !q.repeat || !makeLate(q)) {
+                giveUp(q);
+            } else {
+                hold(q);
+            }
         }
     }
 
     private boolean doomed(Request q) {
-        return now + needed(q) >= q.usefulUntil;
+        return now + needed(q) >= q.end;
+    }
+
+    // Departure "late worth": what was tried in vain until its aim is tried on for what a late answer is
+    // worth, behind all that can still be in time. Untried, a late start only takes the place of another.
+    private boolean makeLate(Request q) {
+        boolean late = q.end < q.usefulUntil && now + needed(q) < q.usefulUntil;
+        if (late) {
+            release(q);
+            q.end = q.usefulUntil;
+            q.worth *= q.type.lateWorth();
+        }
+        return late;
     }
 
     // The time that must be left. With half of its aim left a request is always worth a try: a class refused
@@ -809,7 +829,7 @@
     // A further attempt where the rules allow one and it can still be in time; else the final answer.
     private void again(Request q, Server failed) {
         q.avoid = failed;
-        if (!doomed(q) && subset.stream().anyMatch(s -> s.state == ServerState.UP && maySend(q, s))) {
+        if ((!doomed(q) || makeLate(q)) && subset.stream().anyMatch(s -> s.state == ServerState.UP && maySend(q, s))) {
             hold(q);
         } else {
             giveUp(q);
@@ -1123,7 +1143,7 @@
             at = Math.min(at, Math.max(lookAt, now + 1));
         }
         if (!heldByEnd.isEmpty()) {
-            at = Math.min(at, heldByEnd.first().usefulUntil);
+            at = Math.min(at, heldByEnd.first().end);
             Request q = held.first();
             if (q.sounding != null && q.sounding.probing && !mute(q.sounding)) {
                 at = Math.min(at, muteAt(q.sounding));
