--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -75,6 +75,11 @@
     // A server that reports less than this part of its cores busy is not crowded.
     private static final double IDLE_CORES = 0.8;
     private static final double FULL_CORES = 0.95;
+    // Up to this part of the cores busy hardly a request waits for one; and what it may be out for noise.
+    private static final double SPARE_CORES = 0.6;
+    private static final double CORES_NOISE = 0.3;
+    // So many busy cores in reports tell how many there are; of twice as many the older half is forgotten.
+    private static final double CORES_SEEN = 4;
     // What all nodes together start with at a server that none of them has had an answer from.
     private static final double FIRST_ROOM = 2;
     // Departure "errors": so many in a row bar a server. One that fails at once looks idle and draws sends.
@@ -224,6 +229,9 @@
     private final Room sharedRoom = new Room();
     private boolean hears;
     private double meanLoad;
+    private double running;
+    private double coresBusy;
+    private int cores = 1;
     private final Map<Long, Server> byId = new HashMap<>();
     private final ArrayList<Server> servers = new ArrayList<>();
     private final TreeMap<Double, Server> ring = new TreeMap<>();
@@ -577,7 +585,7 @@
         for (Server s : subset) {
             s.candidate &= s != q.avoid || !other;
             if (s.candidate) {
-                least = Math.min(least, crowd(s));
+                least = Math.min(least, Math.max(0, crowd(s) + 1 - cores));
             }
         }
         int row = rowLive[q.row] ? q.row : sharedRow;
@@ -585,7 +593,7 @@
         double margin = hears ? HEARD_MARGIN : 1;
         for (Server s : subset) {
             // Departure "reported skip": a server known to hold more than the least is skipped.
-            s.candidate &= !sounds && !hears && !pooled || crowd(s) < least + margin;
+            s.candidate &= !sounds && !hears && !pooled || crowd(s) + 1 - cores < least + margin;
             if (s.candidate && (best == null || turn(s, row) > turn(best, row))) {
                 best = s;
             }
@@ -648,8 +656,13 @@
         if (!sounds && !hears || service == 0 || hears && out.isEmpty()) {
             return true;
         }
-        double needed = (crowd(s) + 1) * serviceOf(s);
-        return needed <= FIT_PART * (q.end - now) || crowd(s) < 1 && warmth(s, now) >= 1;
+        double crowd = crowd(s);
+        return turns(crowd) * serviceOf(s) <= FIT_PART * (q.end - now) || crowd < cores && warmth(s, now) >= 1;
+    }
+
+    // The service times until a request ends that comes to a server which holds so many.
+    private double turns(double load) {
+        return Math.max(1, (load + 1) / cores);
     }
 
     private double crowd(Server s) {
@@ -674,7 +687,7 @@
     private boolean known(Server s) {
         long age = now - s.reportedAt;
         return age <= FRESH_PART * Math.max(service, tripTo(s))
-            || s.load >= 1 && age <= BUSY_PART * s.load * service;
+            || s.load >= cores && age <= BUSY_PART * s.load / cores * service;
     }
 
     private boolean mute(Server s) {
@@ -705,6 +718,25 @@
         }
     }
 
+    // Departure "cores": what runs at a server for each part of its cores that is busy tells how many it has.
+    // Taken for one, a server with a free core counts as full, and its cold budget is a part of what it is.
+    private void learnCores(LoadReport r) {
+        boolean waiting = r.queued() >= 1;
+        double busy = waiting ? 1 : r.utilization();
+        if (!(r.inFlight() >= 0) || !(busy > 0) || !waiting && busy > SPARE_CORES) {
+            return;
+        }
+        running += waiting ? r.inFlight() - r.queued() : r.inFlight();
+        coresBusy += busy;
+        if (coresBusy > CORES_SEEN) {
+            cores = (int) Math.max(1, running / coresBusy + CORES_NOISE);
+        }
+        if (coresBusy > 2 * CORES_SEEN) {
+            running /= 2;
+            coresBusy /= 2;
+        }
+    }
+
     // ==== Sending ====================================================================================
 
     private void serveHeld() {
@@ -877,7 +909,7 @@
     private void learn(Server s, Attempt a, long elapsed) {
         int row = a.request.row;
         usual[row] = blend(usual[row], elapsed);
-        double alone = elapsed / (1 + a.loadBefore);
+        double alone = elapsed / turns(a.loadBefore);
         service = blend(service, alone);
         s.slowness = blend(s.slowness, alone / service);
         adjustRoom(s, elapsed / (double) a.request.type.aim());
@@ -994,6 +1026,7 @@
         if (e.result() == Result.SERVED) {
             trips.merge(s.entry.zone(), (double) e.elapsed(), Decide::blend);
             report(s, e.report(), 0);
+            learnCores(e.report());
             answered(s);
         } else if (e.result() == Result.ERROR) {
             failed(s);
@@ -1018,7 +1051,7 @@
         }
         for (Attempt a : out) {
             Server s = a.server;
-            double expected = sounds || hears ? serviceOf(s) * (a.loadBefore + 1) : usual[a.request.row];
+            double expected = sounds || hears ? serviceOf(s) * turns(a.loadBefore) : usual[a.request.row];
             double waits = expected > 0 ? (now - Math.max(a.sentAt, s.answeredAt)) / expected : 0;
             s.due += Math.min(waits, SILENT_EACH);
         }
@@ -1085,7 +1118,7 @@
     // where loads are known, else of what this node sends to the mean server, which that one carries.
     private double coldBudget(double warmth) {
         double nodes = Math.max(1, settings.nodes() * Math.min(1, subset.size() / (double) servers.size()));
-        double perServer = sounds && service > 0 ? 1 / service / nodes : sendRate;
+        double perServer = sounds && service > 0 ? cores / service / nodes : sendRate;
         double capacity = settings.rules().fallAfter() * perServer;
         double part = COLD_CAUTION * settings.rules().tipMultiple() * warmth * capacity;
         return Math.max(part, Math.min(1, FIRST_ROOM / nodes));
