--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -188,6 +188,7 @@
         final RequestClass type;
         final int row;
         // The end of its worth, and of what is worked for now: the aim or, once that is past, the same.
+        final long aimAt;
         final long usefulUntil;
         long end;
         double worth;
@@ -208,6 +209,7 @@
             this.number = number;
             this.type = type;
             this.row = row;
+            this.aimAt = aimAt;
             this.usefulUntil = usefulUntil;
             this.end = aimAt;
             this.worth = worth;
@@ -657,6 +659,10 @@
             return true;
         }
         double crowd = crowd(s);
+        // What is late has long to wait: let behind others, it fills the servers that others need in time.
+        if (q.end > q.aimAt && crowd >= cores) {
+            return false;
+        }
         return turns(crowd) * serviceOf(s) <= FIT_PART * (q.end - now) || crowd < cores && warmth(s, now) >= 1;
     }
 
