--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -54,6 +54,9 @@
     private static final double HEARD_MARGIN = 0.1;
     // A server is worth a send if what it holds, and this request, fit in this part of the time left.
     private static final double FIT_PART = 0.75;
+    // Nothing is sent behind more turns than this: a core needs one waiting to stay busy, and held requests
+    // can still be overtaken and go to whichever server is free first.
+    private static final int MOST_TURNS = 2;
     // Less than this part of a service time left to the aim: the request can no longer make it.
     private static final double DOOMED_PART = 0.6;
     // Where loads are not known, the time left must cover this multiple of what the class usually takes.
@@ -660,7 +663,7 @@
         }
         double crowd = crowd(s);
         // What is late has long to wait: let behind others, it fills the servers that others need in time.
-        if (q.end > q.aimAt && crowd >= cores) {
+        if (crowd >= cores * (q.end > q.aimAt ? 1 : MOST_TURNS)) {
             return false;
         }
         return turns(crowd) * serviceOf(s) <= FIT_PART * (q.end - now) || crowd < cores && warmth(s, now) >= 1;
