--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -755,7 +755,9 @@
         for (Request q : new ArrayList<>(held)) {
             Server s = next(q);
             if (s == null) {
-                if (!sounds && !hears && untouched(q)) {
+                // Departure "head of the line": what follows one that may go anywhere finds no server either.
+                // Each with soundings of its own, the held of many nodes all saw and took the same free core.
+                if (!hears && untouched(q) && (!sounds || maySound(q))) {
                     return;
                 }
             } else if (!sounds || known(s)) {
