--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -53,7 +53,7 @@
     // Servers believed to hold so much more than the least are passed over: less than that no report tells.
     private static final double HEARD_MARGIN = 0.1;
     // A server is worth a send if what it holds, and this request, fit in this part of the time left.
-    private static final double FIT_PART = 0.75;
+    private static final double FIT_PART = 0.5;
     // Nothing is sent behind more turns than this: a core needs one waiting to stay busy, and held requests
     // can still be overtaken and go to whichever server is free first.
     private static final int MOST_TURNS = 2;
