--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -53,7 +53,9 @@
     // Servers believed to hold so much more than the least are passed over: less than that no report tells.
     private static final double HEARD_MARGIN = 0.1;
     // A server is worth a send if what it holds, and this request, fit in this part of the time left.
-    private static final double FIT_PART = 0.5;
+    private static final double FIT_PART = 0.75;
+    // And in this part where it is not cut off at its aim, but goes on for late worth at the cost of others.
+    private static final double LATE_FIT_PART = 0.5;
     // Nothing is sent behind more turns than this: a core needs one waiting to stay busy, and held requests
     // can still be overtaken and go to whichever server is free first.
     private static final int MOST_TURNS = 2;
@@ -666,7 +668,8 @@
         if (crowd >= cores * (q.end > q.aimAt ? 1 : MOST_TURNS)) {
             return false;
         }
-        return turns(crowd) * serviceOf(s) <= FIT_PART * (q.end - now) || crowd < cores && warmth(s, now) >= 1;
+        double part = q.usefulUntil > q.aimAt ? LATE_FIT_PART : FIT_PART;
+        return turns(crowd) * serviceOf(s) <= part * (q.end - now) || crowd < cores && warmth(s, now) >= 1;
     }
 
     // The service times until a request ends that comes to a server which holds so many.
