--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -592,7 +592,7 @@
         for (Server s : subset) {
             s.candidate &= s != q.avoid || !other;
             if (s.candidate) {
-                least = Math.min(least, Math.max(0, crowd(s) + 1 - cores));
+                least = Math.min(least, Math.max(0, behind(s)));
             }
         }
         int row = rowLive[q.row] ? q.row : sharedRow;
@@ -600,7 +600,7 @@
         double margin = hears ? HEARD_MARGIN : 1;
         for (Server s : subset) {
             // Departure "reported skip": a server known to hold more than the least is skipped.
-            s.candidate &= !sounds && !hears && !pooled || crowd(s) + 1 - cores < least + margin;
+            s.candidate &= !sounds && !hears && !pooled || behind(s) < least + margin;
             if (s.candidate && (best == null || turn(s, row) > turn(best, row))) {
                 best = s;
             }
@@ -672,6 +672,12 @@
         return turns(crowd) * serviceOf(s) <= part * (q.end - now) || crowd < cores && warmth(s, now) >= 1;
     }
 
+    // How many requests of others one would wait for, a server from which news is stale on arrival taken for
+    // one fuller: many nodes see its free core at once, long before their requests are there.
+    private double behind(Server s) {
+        return crowd(s) + 1 - cores + (tripTo(s) > FRESH_PART * service ? 1 : 0);
+    }
+
     // The service times until a request ends that comes to a server which holds so many.
     private double turns(double load) {
         return Math.max(1, (load + 1) / cores);
@@ -1041,6 +1047,12 @@
             trips.merge(s.entry.zone(), (double) e.elapsed(), Decide::blend);
             report(s, e.report(), 0);
             learnCores(e.report());
+            if (Double.isNaN(e.report().inFlight())) {
+                // Departure "mute reports": with no load told the plain rotation goes on by the node's own sends.
+                // Taken for unknown, the servers stood idle while all was held and refused.
+                s.load = s.out.size();
+                s.reportedAt = now;
+            }
             answered(s);
         } else if (e.result() == Result.ERROR) {
             failed(s);
