--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -276,6 +276,7 @@
     private int asksFailed;
     private long timerAt = Long.MAX_VALUE;
     private long now;
+    private boolean news;
     private ActionSink sink;
 
     public Decide(Settings settings, long seed) {
@@ -304,6 +305,7 @@
         outTime += this.out.size() * (double) (at - now);
         now = at;
         sink = out;
+        news = !(event instanceof RequestArrived || event instanceof TimerFired || event instanceof ProbeEnded);
         timerAt = now >= timerAt ? Long.MAX_VALUE : timerAt;
         if (now >= windowEnd) {
             endWindow();
@@ -672,10 +674,9 @@
         return turns(crowd) * serviceOf(s) <= part * (q.end - now) || crowd < cores && warmth(s, now) >= 1;
     }
 
-    // How many requests of others one would wait for, a server from which news is stale on arrival taken for
-    // one fuller: many nodes see its free core at once, long before their requests are there.
+    // How many requests of others one would wait for.
     private double behind(Server s) {
-        return crowd(s) + 1 - cores + (tripTo(s) > FRESH_PART * service ? 1 : 0);
+        return crowd(s) + 1 - cores;
     }
 
     // The service times until a request ends that comes to a server which holds so many.
@@ -762,6 +763,10 @@
             return;
         }
         for (Request q : new ArrayList<>(held)) {
+            // Nothing told frees a server: what waits for its own sounding need not walk the subset again.
+            if (!news && q.sounding != null && q.sounding.probing && !mute(q.sounding)) {
+                continue;
+            }
             Server s = next(q);
             if (s == null) {
                 // Departure "head of the line": what follows one that may go anywhere finds no server either.
@@ -1054,6 +1059,7 @@
                 s.reportedAt = now;
             }
             answered(s);
+            news = crowd(s) < cores;
         } else if (e.result() == Result.ERROR) {
             failed(s);
         } else {
