--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -793,7 +793,7 @@
     private void expire() {
         while (!heldByEnd.isEmpty() && doomed(heldByEnd.first())) {
             Request q = heldByEnd.first();
-            if (untouched(q) && !q.repeat || !makeLate(q)) {
+            if (untouched(q) || !makeLate(q)) {
                 giveUp(q);
             } else {
                 hold(q);
