--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -56,6 +56,9 @@
     private static final double FIT_PART = 0.75;
     // And in this part where it is not cut off at its aim, but goes on for late worth at the cost of others.
     private static final double LATE_FIT_PART = 0.5;
+    // After this part of its aim a request settles for a server that it fits at, and looks for no emptier one:
+    // where a trip or a round is a good part of the aim, the search would use up the time that it saves.
+    private static final double SEARCH_PART = 0.1;
     // Nothing is sent behind more turns than this: a core needs one waiting to stay busy, and held requests
     // can still be overtaken and go to whichever server is free first.
     private static final int MOST_TURNS = 2;
@@ -193,6 +196,7 @@
         final RequestClass type;
         final int row;
         // The end of its worth, and of what is worked for now: the aim or, once that is past, the same.
+        final long arrivedAt;
         final long aimAt;
         final long usefulUntil;
         long end;
@@ -209,11 +213,13 @@
         long probeAt = NEVER;
         Server avoid;
 
-        Request(String id, long number, RequestClass type, int row, long aimAt, long usefulUntil, double worth) {
+        Request(String id, long number, RequestClass type, int row, long arrivedAt, long aimAt, long usefulUntil,
+                double worth) {
             this.id = id;
             this.number = number;
             this.type = type;
             this.row = row;
+            this.arrivedAt = arrivedAt;
             this.aimAt = aimAt;
             this.usefulUntil = usefulUntil;
             this.end = aimAt;
@@ -346,7 +352,7 @@
         long usefulUntil = Math.max(now, type.lateWorth() > 0 ? e.giveUpAt() : Math.min(aimAt, e.giveUpAt()));
         double worth = type.worth() * (withinShare(e.tenant()) ? 1 : settings.overShareWorth());
         Request q = new Request(e.id(), requestNumber++, type, Math.min(e.requestClass(), sharedRow),
-            Math.min(Math.max(now, aimAt), usefulUntil), usefulUntil, worth);
+            now, Math.min(Math.max(now, aimAt), usefulUntil), usefulUntil, worth);
         q.repeat = again;
         requests.put(q.id, q);
         if (hopeless(q)) {
@@ -586,13 +592,16 @@
         double mean = out.size() / (double) Math.max(1, subset.size());
         double least = Double.MAX_VALUE;
         boolean other = false;
+        boolean fitting = false;
         for (Server s : subset) {
             s.candidate = open(s) && maySend(q, s) && s.out.size() <= SKIP_MULTIPLE * mean + 1 && fits(q, s)
                 && (!sounds || known(s) || maySound(q));
             other |= s.candidate && s != q.avoid;
+            fitting |= s.candidate && known(s);
         }
+        boolean settle = sounds && fitting && now - q.arrivedAt > SEARCH_PART * q.type.aim();
         for (Server s : subset) {
-            s.candidate &= s != q.avoid || !other;
+            s.candidate &= (s != q.avoid || !other) && (!settle || known(s));
             if (s.candidate) {
                 least = Math.min(least, Math.max(0, behind(s)));
             }
