--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -61,7 +61,7 @@
     private static final double SEARCH_PART = 0.1;
     // Nothing is sent behind more turns than this: a core needs one waiting to stay busy, and held requests
     // can still be overtaken and go to whichever server is free first.
-    private static final int MOST_TURNS = 2;
+    private static final double MOST_TURNS = 1.5;
     // Less than this part of a service time left to the aim: the request can no longer make it.
     private static final double DOOMED_PART = 0.6;
     // Where loads are not known, the time left must cover this multiple of what the class usually takes.
