--- a/src/main/java/ottergauge/protocol/NodeConfig.java
+++ b/src/main/java/ottergauge/protocol/NodeConfig.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import ottergauge.DecisionApi.Settings;
@@ -37,7 +38,13 @@
         if (!(tree.get("settings") instanceof Map<?, ?> map)) {
             throw new ProtocolException("the configuration has no settings");
         }
-        Map<String, Object> settings = (Map<String, Object>) map;
+        Map<String, Object> settings = new LinkedHashMap<>((Map<String, Object>) map);
+        String fault = SettingsReader.fault(settings);
+        if (fault != null) {
+            throw new ProtocolException("settings: " + fault);
+        }
+        // Discovery over sockets only answers: a node that waited to be told would never learn of a server.
+        settings.put("registryMode", "on_request");
         SettingsReader root = new SettingsReader(tree);
         SettingsReader limits = new SettingsReader(settings).child("ceilings");
         HostList known = tree.get("known") instanceof Map<?, ?> list ? HostList.of(list)
--- a/src/main/java/ottergauge/settings/JsonTree.java
+++ b/src/main/java/ottergauge/settings/JsonTree.java
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.settings;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -15,6 +18,57 @@
     private JsonTree() {
     }
 
+    /** Reads a file's content, which is one object and nothing behind it. */
+    public static Map<String, Object> read(byte[] content) throws IOException {
+        try (JsonParser in = new JsonFactory().createParser(content)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new IOException("is no JSON object");
+            }
+            Map<String, Object> tree = object(in);
+            if (in.nextToken() != null) {
+                throw new IOException("has something behind its object");
+            }
+            return tree;
+        }
+    }
+
+    /** Writes what {@link #read} reads, with a line for each key. */
+    public static byte[] write(Map<String, Object> tree) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator out = new JsonFactory().createGenerator(bytes)) {
+            out.useDefaultPrettyPrinter();
+            write(out, tree);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void write(JsonGenerator out, Object value) throws IOException {
+        if (value instanceof Map<?, ?> map) {
+            out.writeStartObject();
+            for (Map.Entry<?, ?> entry : map.entrySet()) {
+                out.writeFieldName(String.valueOf(entry.getKey()));
+                write(out, entry.getValue());
+            }
+            out.writeEndObject();
+        } else if (value instanceof List<?> list) {
+            out.writeStartArray();
+            for (Object each : list) {
+                write(out, each);
+            }
+            out.writeEndArray();
+        } else if (value instanceof Double number && number == Math.rint(number) && Math.abs(number) < 1e15) {
+            out.writeNumber(number.longValue());
+        } else if (value instanceof Double number) {
+            out.writeNumber(number);
+        } else if (value instanceof Boolean flag) {
+            out.writeBoolean(flag);
+        } else if (value == null) {
+            out.writeNull();
+        } else {
+            out.writeString(String.valueOf(value));
+        }
+    }
+
     /** Reads the object whose opening brace is the current token. */
     public static Map<String, Object> object(JsonParser in) throws IOException {
         Map<String, Object> map = new LinkedHashMap<>();
--- a/src/main/java/ottergauge/settings/SettingsReader.java
+++ b/src/main/java/ottergauge/settings/SettingsReader.java
@@ -17,6 +17,10 @@
 /** Reads a deployment's settings object; an optional key that is missing takes the cautious value. */
 public final class SettingsReader {
 
+    // A node that hears of things once a minute decides nothing in time; under a microsecond is no span here.
+    private static final double LEAST_ROUND_MS = 0.001;
+    private static final double MOST_ROUND_MS = 60_000;
+
     private final Map<String, Object> config;
 
     public SettingsReader(Map<String, Object> config) {
@@ -46,6 +50,28 @@
             root.children("parties").stream().map(SettingsReader::tenant).toList());
     }
 
+    /** What is wrong with settings that a person wrote, by key; null if nothing is. */
+    public static String fault(Map<String, Object> config) {
+        SettingsReader root = new SettingsReader(config);
+        String fault = root.fault("roundMs", LEAST_ROUND_MS, MOST_ROUND_MS);
+        for (SettingsReader c : root.children("classes")) {
+            String late = c.fault("lateWorth", 0, 1);
+            String aim = c.fault("aimMs", 0, Double.MAX_VALUE);
+            fault = fault != null ? fault : late != null ? "classes: " + late : aim != null ? "classes: " + aim : null;
+        }
+        String probe = root.child("penalties").fault("probe", 0, Double.MAX_VALUE);
+        return fault != null ? fault : probe == null ? null : "penalties: " + probe;
+    }
+
+    private String fault(String key, double least, double most) {
+        Object value = config.get(key);
+        if (value == null || value instanceof Double number && number >= least && number <= most) {
+            return null;
+        }
+        String range = most < Double.MAX_VALUE ? "from " + least + " to " + most : "not below " + least;
+        return key + " is a number " + range + ", not " + value;
+    }
+
     private static RequestClass requestClass(SettingsReader c) {
         Repeat repeat = switch (c.text("semantics", "single_shot")) {
             case "free" -> Repeat.SAFE;
