--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -679,8 +679,10 @@
         if (crowd >= cores * (q.end > q.aimAt ? 1 : MOST_TURNS)) {
             return false;
         }
-        double part = q.usefulUntil > q.aimAt ? LATE_FIT_PART : FIT_PART;
-        return turns(crowd) * serviceOf(s) <= part * (q.end - now) || crowd < cores && warmth(s, now) >= 1;
+        boolean runsOn = q.usefulUntil > q.aimAt;
+        return turns(crowd) * serviceOf(s) <= (runsOn ? LATE_FIT_PART : FIT_PART) * (q.end - now)
+            || crowd < cores && warmth(s, now) >= 1
+                && (!runsOn || out.isEmpty() || serviceOf(s) <= q.end - now);
     }
 
     // How many requests of others one would wait for.
