--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -74,22 +74,11 @@
     private static final double SILENT_ANSWERS = 5;
     // One attempt proves no more than this: a costly request also makes a server look silent.
     private static final double SILENT_EACH = 3;
-    // The part of the aim that an answer may take at a server before its room shrinks.
-    private static final double ROOM_SHARE = 0.25;
-    // One answer speaks of one server, and changes the room at all of them by so much less.
-    private static final double POOL_GAIN = 0.4;
-    // The mean of many answers tells crowding sooner than single ones: some are long without any.
-    private static final double POOL_MARK = 0.5;
-    // A server that reports less than this part of its cores busy is not crowded.
-    private static final double IDLE_CORES = 0.8;
-    private static final double FULL_CORES = 0.95;
     // Up to this part of the cores busy hardly a request waits for one; and what it may be out for noise.
     private static final double SPARE_CORES = 0.6;
     private static final double CORES_NOISE = 0.3;
     // So many busy cores in reports tell how many there are; of twice as many the older half is forgotten.
     private static final double CORES_SEEN = 4;
-    // What all nodes together start with at a server that none of them has had an answer from.
-    private static final double FIRST_ROOM = 2;
     // Departure "errors": so many in a row bar a server. One that fails at once looks idle and draws sends.
     private static final int ERRORS_IN_A_ROW = 2;
     // Where loads are heard a bar for an error begins so far up: a trial costs a request, and one server of
@@ -102,15 +91,10 @@
     private static final double ASKS_AGAIN = 0.5;
     // The part of the cold budget that is used: the guide is an estimate.
     private static final double COLD_CAUTION = 0.6;
+    // What all nodes together may send a cold server in a span, at the least: with none it is never warm.
+    private static final double LEAST_SENDS = 2;
     // Before it has answered, a cold server is hoped to do this multiple of the least it can do by now.
     private static final double COLD_HOPE = 1.5;
-    // Each node hears as often as it tells: some ten answers of others for one of its own.
-    private static final long TELL_EVERY = 250_000;
-    private static final int TOLD_PEERS = 4;
-    private static final byte TOLD_VERSION = 1;
-    private static final double TOLD_SCALE = 25;
-    // While others leave room unused, a node may have this multiple of its part out.
-    private static final double SPARE_ROOM = 2;
     private static final long LOOK_EVERY = 25_000;
     private static final long FIRST_ASK_WITHIN = 200_000;
     private static final long ASK_AGAIN = 500_000;
@@ -120,14 +104,6 @@
     private static final int SUBSET_TRIES = 4;
     private static final long NEVER = Long.MIN_VALUE / 4;
 
-    // What may be out at once: at one server or, where a node's part of one is under one, at all.
-    private static final class Room {
-        double size;
-        boolean found;
-        double crowding;
-        long restsUntil = NEVER;
-    }
-
     // A server, as this node knows it.
     private static final class Server {
         final long id;
@@ -150,9 +126,6 @@
         long probedAt = NEVER;
         boolean probing;
         double slowness;
-        double utilization = 1;
-        long utilizationAt = NEVER;
-        final Room room = new Room();
         double due;
         long answeredAt = NEVER;
         int strikes;
@@ -239,7 +212,6 @@
     private final int sharedRow;
     private final boolean sounds;
     private final int mostProbes;
-    private final Room sharedRoom = new Room();
     private boolean hears;
     private double meanLoad;
     private double running;
@@ -254,13 +226,6 @@
     private double outTime;
     private double outTimeBefore;
     private double meanOut;
-    private double outTimeTold;
-    private long toldAt = NEVER;
-    private double peersOut;
-    private boolean pooled;
-    private double untoldSum;
-    private int untold;
-    private long tellAt = NEVER;
     private final Map<String, Request> requests = new HashMap<>();
     private final TreeSet<Request> held = new TreeSet<>(BY_WORTH);
     private final TreeSet<Request> heldByEnd = new TreeSet<>(BY_END);
@@ -330,13 +295,10 @@
             clientGone(e);
         } else if (event instanceof AnswerStarted e) {
             answerStarted(e);
-        } else if (event instanceof PeerTold e) {
-            peerTold(e);
         } else if (!(event instanceof TimerFired)) {
             throw new IllegalArgumentException("unknown event " + event);
         }
         look();
-        tellPeers();
         expire();
         serveHeld();
         setTimer();
@@ -529,10 +491,6 @@
     // Departure "subset": a node rotates over the servers at its points of a ring with arcs by size, an even
     // part each. All nodes at all servers filled their tables, learnt nothing and used up the CPU.
     private void chooseSubset() {
-        pooled = settings.nodes() > servers.size();
-        if (pooled && sharedRoom.size == 0) {
-            sharedRoom.size = FIRST_ROOM / sharers();
-        }
         int size = subsetSize();
         subset.clear();
         boolean all = size >= servers.size();
@@ -556,11 +514,6 @@
         return (int) Math.max(LEAST_SUBSET, Math.max(paid, Math.max(out.size(), SUBSET_SPARE * meanOut)));
     }
 
-    // How many nodes share the room of one server.
-    private double sharers() {
-        return settings.nodes() / (pooled ? Math.max(1.0, servers.size()) : 1);
-    }
-
     // Weights of a row: the floor of a server's part of the inverse means, times the total, at least one.
     private void weigh(int row) {
         double known = 0;
@@ -611,7 +564,7 @@
         double margin = hears ? HEARD_MARGIN : 1;
         for (Server s : subset) {
             // Departure "reported skip": a server known to hold more than the least is skipped.
-            s.candidate &= !sounds && !hears && !pooled || behind(s) < least + margin;
+            s.candidate &= !sounds && !hears || behind(s) < least + margin;
             if (s.candidate && (best == null || turn(s, row) > turn(best, row))) {
                 best = s;
             }
@@ -639,22 +592,10 @@
     // ==== Room: what a server can take within the aim ================================================
 
     private boolean open(Server s) {
-        Room room = roomOf(s);
-        boolean spare = pooled && peersOut > 0 && peersOut < room.size;
-        double most = Math.max(1, spare ? SPARE_ROOM * room.size : room.size);
-        boolean hasRoom = sounds || hears || outIn(s) < most && (spare || now >= room.restsUntil);
-        return s.state == ServerState.UP && now >= s.barredUntil && !mute(s) && hasRoom
+        return s.state == ServerState.UP && now >= s.barredUntil && !mute(s)
             && (s.strikes == 0 || s.out.isEmpty()) && coldBudgetLeft(s);
     }
 
-    private Room roomOf(Server s) {
-        return pooled ? sharedRoom : s.room;
-    }
-
-    private int outIn(Server s) {
-        return pooled ? out.size() : s.out.size();
-    }
-
     // The fleet's service time by how much slower than the fleet this server is. A mean of its own sees too
     // few answers to follow when everything becomes slow, and work goes on being sent that will be late.
     private double serviceOf(Server s) {
@@ -699,11 +640,7 @@
         if (hears) {
             return Math.max(s.out.size(), believed(s));
         }
-        if (!sounds) {
-            boolean full = pooled && s.utilization > FULL_CORES && now - s.utilizationAt < WINDOW / 10;
-            return s.out.size() + (full ? 1 : 0);
-        }
-        return known(s) ? Math.max(s.load, s.out.size()) : s.out.size();
+        return sounds && known(s) ? Math.max(s.load, s.out.size()) : s.out.size();
     }
 
     // Departure "hearsay": where probes are too dear, what an answer said of its server is believed less and
@@ -742,10 +679,6 @@
             hears = settings.reportsLoad() && !sounds;
             meanLoad += BLEND * (s.load - meanLoad);
         }
-        if (!Double.isNaN(report.utilization())) {
-            s.utilization = report.utilization();
-            s.utilizationAt = now;
-        }
     }
 
     // Departure "cores": what runs at a server for each part of its cores that is busy tells how many it has.
@@ -882,7 +815,6 @@
             report(s, e.report(), e.result() == Result.SERVED ? 1 : 0);
         }
         judge(s, a, e);
-        rest(s, e.elapsed());
         if (!e.result().neverRan() && q.firstThatMayHaveRun == null) {
             q.firstThatMayHaveRun = a;
         }
@@ -916,13 +848,7 @@
                 s.errors = 0;
                 learn(s, a, e.elapsed());
             }
-            case TIMED_OUT -> {
-                learn(s, a, e.elapsed());
-                // One of hundreds of nodes sees a jammed or hung server by this alone; a rest mends it.
-                if (pooled && !sounds && e.elapsed() > a.request.type.aim() / 2 && !manyBarred()) {
-                    strike(s);
-                }
-            }
+            case TIMED_OUT -> learn(s, a, e.elapsed());
             case CONNECT_FAILED, RESET -> {
                 s.lost = true;
                 strike(s);
@@ -948,79 +874,12 @@
         double alone = elapsed / turns(a.loadBefore);
         service = blend(service, alone);
         s.slowness = blend(s.slowness, alone / service);
-        adjustRoom(s, elapsed / (double) a.request.type.aim());
-    }
-
-    // Room under one is kept by pauses: without them many nodes, one attempt each, keep a jam going.
-    private void rest(Server s, long elapsed) {
-        Room room = roomOf(s);
-        if (!sounds && outIn(s) == 0 && room.size < 1) {
-            room.restsUntil = now + (long) (elapsed * (1 / room.size - 1));
-        }
     }
 
     private static double blend(double mean, double sample) {
         return mean == 0 ? sample : mean + BLEND * (sample - mean);
     }
 
-    // Departure "room": what may be out at a server follows how much of the aim its answers take.
-    private void adjustRoom(Server s, double part) {
-        boolean idle = s.utilization < IDLE_CORES && part < 1 - ROOM_SHARE;
-        Room room = roomOf(s);
-        // The room at all servers follows the mean answer: a single long one speaks of its request alone.
-        room.crowding = pooled ? crowding(part) : part / ROOM_SHARE;
-        double crowdedFrom = pooled ? POOL_MARK : 1;
-        if (room.crowding > crowdedFrom && !idle) {
-            room.found = true;
-            double cut = Math.min(1, room.crowding - crowdedFrom) / 2;
-            room.size -= pooled ? cut * POOL_GAIN * room.size : cut;
-            room.size = Math.max(FIRST_ROOM / 4 / sharers(), room.size);
-        } else if ((peersOut > 0 ? peersOut / FULL_CORES : outIn(s) + (pooled ? 1 : 2)) > room.size) {
-            double step = (pooled ? POOL_GAIN * room.size : 1) / Math.max(1, room.size * sharers());
-            room.size += room.found ? step : pooled ? 0.25 : 1 / sharers();
-        }
-    }
-
-    private double crowding(double part) {
-        double crowding = Math.min(2, part / ROOM_SHARE);
-        untoldSum += crowding;
-        untold++;
-        return blend(sharedRoom.crowding, crowding);
-    }
-
-    // Departure "peers": nodes that share a room tell a few others, drawn anew each time, how crowded their
-    // own answers were. One node alone sees a burst too late, after seconds, and takes chance for crowding.
-    private void tellPeers() {
-        if (!settings.limits().peers() || sounds || !pooled || now < tellAt || now <= toldAt) {
-            return;
-        }
-        double mean = toldAt == NEVER ? out.size() : (outTime - outTimeTold) / (now - toldAt);
-        double crowding = untold == 0 ? sharedRoom.crowding : untoldSum / untold;
-        byte[] message = {TOLD_VERSION, told(crowding), told(mean)};
-        for (int i = 0; i < TOLD_PEERS; i++) {
-            int peer = (settings.node() + 1 + random.nextInt(settings.nodes() - 1)) % settings.nodes();
-            sink.accept(new Tell(peer, message));
-        }
-        untoldSum = 0;
-        untold = 0;
-        outTimeTold = outTime;
-        toldAt = now;
-        tellAt = now + TELL_EVERY / 2 + random.nextLong(TELL_EVERY);
-    }
-
-    private static byte told(double figure) {
-        return (byte) Math.min(Byte.MAX_VALUE, Math.round(figure * TOLD_SCALE));
-    }
-
-    // What cannot be read, or was sent by a node of another build, is passed over.
-    private void peerTold(PeerTold e) {
-        byte[] m = e.message();
-        if (m.length == 3 && m[0] == TOLD_VERSION && m[1] >= 0 && m[1] <= 2 * TOLD_SCALE && m[2] >= 0) {
-            sharedRoom.crowding = blend(sharedRoom.crowding, m[1] / TOLD_SCALE);
-            peersOut += BLEND * (m[2] / TOLD_SCALE - peersOut);
-        }
-    }
-
     private void answered(Server s) {
         s.answeredAt = now;
         if (s.lost) {
@@ -1036,12 +895,10 @@
             return;
         }
         // A bar shorter than the time between two sends to a server is none.
-        boolean seldom = pooled && !sounds && sendRate > 0 || hears;
-        double turn = seldom ? Math.max(FIRST_BAR, 1 / rate()) : FIRST_BAR;
+        double turn = hears ? Math.max(FIRST_BAR, 1 / rate()) : FIRST_BAR;
         long bar = (long) Math.min(FIRST_BAR << MOST_STRIKES, turn * (1 << s.strikes));
         s.barredUntil = now + bar / 2 + random.nextLong(bar);
         s.strikes = Math.min(MOST_STRIKES, s.strikes + 1);
-        s.room.size = FIRST_ROOM / settings.nodes();
         if (servers.size() > subset.size()) {
             chooseSubset();
         }
@@ -1164,7 +1021,7 @@
         double perServer = sounds && service > 0 ? cores / service / nodes : sendRate;
         double capacity = settings.rules().fallAfter() * perServer;
         double part = COLD_CAUTION * settings.rules().tipMultiple() * warmth * capacity;
-        return Math.max(part, Math.min(1, FIRST_ROOM / nodes));
+        return Math.max(part, Math.min(1, LEAST_SENDS / nodes));
     }
 
     // ==== The server list ============================================================================
@@ -1188,7 +1045,6 @@
                 s.slowness = 0;
                 s.strikes = 0;
                 s.barredUntil = NEVER;
-                s.room.size = FIRST_ROOM / settings.nodes();
             }
             s.entry = e;
             s.state = e.state();
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -33,7 +33,7 @@
     public record Tenant(String name, double portion, double quotaPerSecond) { }
 
     /** What the deployment permits. */
-    public record Limits(boolean probes, boolean peers, boolean cancel, boolean retryAfter,
+    public record Limits(boolean probes, boolean cancel, boolean retryAfter,
                          int maxAttempts, long maxRetryAfter) { }
 
     /** The figures of the rules on answers, drains and cold servers. */
@@ -102,9 +102,6 @@
 
     public record TimerFired(String token) implements Event { }
 
-    /** Another node's message; it may be late, repeated, cut off or of another build. */
-    public record PeerTold(int peer, byte[] message) implements Event { }
-
     // ---- Actions --------------------------------------------------------------------------------
 
     /** Something the node is to do. */
@@ -123,9 +120,6 @@
 
     public record Probe(long server) implements Action { }
 
-    /** Sends another node a short message, which may be lost. */
-    public record Tell(int peer, byte[] message) implements Action { }
-
     /** Asks the discovery service for changes from now on. */
     public record Subscribe() implements Action { }
 
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -411,6 +411,5 @@
         } else if (action instanceof DecisionApi.Subscribe) {
             watch.begin(now);
         }
-        // Nodes have no way to tell each other anything: a Tell is lost, as the interface allows.
     }
 }
--- a/src/main/java/ottergauge/settings/SettingsReader.java
+++ b/src/main/java/ottergauge/settings/SettingsReader.java
@@ -39,7 +39,7 @@
             "pushed".equals(root.text("registryMode", "")) ? Discovery.PUSHED : Discovery.ON_REQUEST,
             reports && fields.contains("outstanding"), root.child("clients").flag("marksRetry"),
             root.number("overShareWorth", 1),
-            new Limits(limits.flag("probes"), limits.flag("peerMessages"), limits.flag("cancel"),
+            new Limits(limits.flag("probes"), limits.flag("cancel"),
                 limits.flag("retryAfter"),
                 Math.max(1, (int) limits.number("maxAttempts", 1)), limits.micros("maxRetryAfterMs", 0)),
             new Rules(rules.micros("answerSlackMs", 0), rules.micros("stopSendingWithinMs", 0),
