--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -56,7 +56,7 @@
     private static final double FIT_PART = 0.75;
     // And in this part where it is not cut off at its aim, but goes on for late worth at the cost of others.
     private static final double LATE_FIT_PART = 0.5;
-    // After this part of its aim a request settles for a server that it fits at, and looks for no emptier one:
+    // After this part of its aim a request settles for a server that it fits at, emptier ones or not:
     // where a trip or a round is a good part of the aim, the search would use up the time that it saves.
     private static final double SEARCH_PART = 0.1;
     // Nothing is sent behind more turns than this: a core needs one waiting to stay busy, and held requests
@@ -186,8 +186,8 @@
         long probeAt = NEVER;
         Server avoid;
 
-        Request(String id, long number, RequestClass type, int row, long arrivedAt, long aimAt, long usefulUntil,
-                double worth) {
+        Request(String id, long number, RequestClass type, int row, long arrivedAt, long aimAt,
+                long usefulUntil, double worth) {
             this.id = id;
             this.number = number;
             this.type = type;
@@ -276,7 +276,8 @@
         outTime += this.out.size() * (double) (at - now);
         now = at;
         sink = out;
-        news = !(event instanceof RequestArrived || event instanceof TimerFired || event instanceof ProbeEnded);
+        news = !(event instanceof RequestArrived || event instanceof TimerFired
+            || event instanceof ProbeEnded);
         timerAt = now >= timerAt ? Long.MAX_VALUE : timerAt;
         if (now >= windowEnd) {
             endWindow();
@@ -829,7 +830,8 @@
     // A further attempt where the rules allow one and it can still be in time; else the final answer.
     private void again(Request q, Server failed) {
         q.avoid = failed;
-        if ((!doomed(q) || makeLate(q)) && subset.stream().anyMatch(s -> s.state == ServerState.UP && maySend(q, s))) {
+        if ((!doomed(q) || makeLate(q))
+            && subset.stream().anyMatch(s -> s.state == ServerState.UP && maySend(q, s))) {
             hold(q);
         } else {
             giveUp(q);
@@ -921,7 +923,7 @@
             report(s, e.report(), 0);
             learnCores(e.report());
             if (Double.isNaN(e.report().inFlight())) {
-                // Departure "mute reports": with no load told the plain rotation goes on by the node's own sends.
+                // Departure "mute reports": with no load told the rotation goes on by the node's own sends.
                 // Taken for unknown, the servers stood idle while all was held and refused.
                 s.load = s.out.size();
                 s.reportedAt = now;
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -48,8 +48,9 @@
      * hears anything; {@code repeatsMarked}: clients mark their repeats.
      */
     public record Settings(int node, int nodes, int zone, long round, Discovery discovery,
-                           boolean reportsLoad, boolean repeatsMarked, double overShareWorth, Limits limits, Rules rules,
-                           Prices prices, List<RequestClass> classes, List<Tenant> tenants) { }
+                           boolean reportsLoad, boolean repeatsMarked, double overShareWorth,
+                           Limits limits, Rules rules, Prices prices, List<RequestClass> classes,
+                           List<Tenant> tenants) { }
 
     // ---- Events ---------------------------------------------------------------------------------
 
--- a/src/main/java/ottergauge/migration/Migration.java
+++ b/src/main/java/ottergauge/migration/Migration.java
@@ -8,8 +8,8 @@
 import java.util.Set;
 
 /**
- * Translates a node's configuration for one deployment into its counterpart for another. What only an operator
- * knows of the new one stands in a shape: settings that take the place of the old ones. Values in, values out.
+ * Translates a node's configuration for one deployment into its counterpart for another. What only an
+ * operator knows of the new one stands in a shape: settings that take the place of the old ones.
  */
 public final class Migration {
 
@@ -20,12 +20,13 @@
     public record Result(Map<String, Object> config, List<Leftover> left) { }
 
     private static final List<String> PROCESS = List.of("name", "listen", "discovery", "seed", "limits");
-    private static final List<String> NEEDED = List.of("balancers", "zones", "zone", "registryMode", "reporting");
+    private static final List<String> NEEDED =
+        List.of("balancers", "zones", "zone", "registryMode", "reporting");
     private static final Set<String> OBJECTS =
         Set.of("ceilings", "rules", "penalties", "clients", "blend", "specifics");
-    private static final Set<String> PLAIN = Set.of("me", "balancers", "zone", "zones", "kinds", "registryMode",
-        "roundMs", "overShareWorth", "classes", "parties", "reporting", "weights", "worthBy", "family", "stages",
-        "tier");
+    private static final Set<String> PLAIN = Set.of("me", "balancers", "zone", "zones", "kinds",
+        "registryMode", "roundMs", "overShareWorth", "classes", "parties", "reporting", "weights", "worthBy",
+        "family", "stages", "tier");
 
     private final Map<String, Object> old;
     private final Map<String, Object> shape;
@@ -64,7 +65,7 @@
             if (PROCESS.contains(key)) {
                 result.put(key, value);
             } else if ("known".equals(key)) {
-                left.add(new Leftover(key, value, "names the servers of the old fleet; the node asks discovery"));
+                left.add(new Leftover(key, value, "names the old fleet's servers; the node asks discovery"));
             } else if (!"settings".equals(key)) {
                 left.add(new Leftover(key, value, "is no key of a node's configuration"));
             }
@@ -81,8 +82,9 @@
             }
         }
         for (String key : shape.keySet()) {
-            settings.put(key, OBJECTS.contains(key) && old.get(key) != null
-                ? merged(object(old.get(key), "settings." + key), object(shape.get(key), key)) : shape.get(key));
+            boolean both = OBJECTS.contains(key) && old.get(key) != null;
+            settings.put(key, !both ? shape.get(key)
+                : merged(object(old.get(key), "settings." + key), object(shape.get(key), key)));
         }
         if (!shape.containsKey("kinds") && old.get("kinds") != null) {
             left.add(new Leftover("settings.kinds", old.get("kinds"), "names the machines of the old fleet"));
@@ -122,7 +124,7 @@
         for (Map.Entry<Object, Map<String, Object>> e : byName.entrySet()) {
             Map<String, Object> type = e.getValue();
             Map<String, Object> change = changes.getOrDefault(e.getKey(), Map.of());
-            // Which servers drop repeats together was told in zones that are no more: none is safe to repeat at.
+            // Which servers drop repeats together was told in zones that are no more: none is safe.
             if ("zone".equals(type.get("group")) && !sameZones && !change.containsKey("group")) {
                 left.add(new Leftover("settings.classes." + e.getKey() + ".group", "zone",
                     "the zones are others: never repeated until the shape says the group and windowMs"));
--- a/src/main/java/ottergauge/settings/SettingsReader.java
+++ b/src/main/java/ottergauge/settings/SettingsReader.java
@@ -55,12 +55,13 @@
         SettingsReader root = new SettingsReader(config);
         String fault = root.fault("roundMs", LEAST_ROUND_MS, MOST_ROUND_MS);
         for (SettingsReader c : root.children("classes")) {
-            String late = c.fault("lateWorth", 0, 1);
-            String aim = c.fault("aimMs", 0, Double.MAX_VALUE);
-            fault = fault != null ? fault : late != null ? "classes: " + late : aim != null ? "classes: " + aim : null;
+            fault = first(fault, first(c.fault("lateWorth", 0, 1), c.fault("aimMs", 0, Double.MAX_VALUE)));
         }
-        String probe = root.child("penalties").fault("probe", 0, Double.MAX_VALUE);
-        return fault != null ? fault : probe == null ? null : "penalties: " + probe;
+        return first(fault, root.child("penalties").fault("probe", 0, Double.MAX_VALUE));
+    }
+
+    private static String first(String one, String other) {
+        return one != null ? one : other;
     }
 
     private String fault(String key, double least, double most) {
