--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -59,6 +59,11 @@
     // After this part of its aim a request settles for a server that it fits at, emptier ones or not:
     // where a trip or a round is a good part of the aim, the search would use up the time that it saves.
     private static final double SEARCH_PART = 0.1;
+    // A key's server may be given so many turns ahead of its own: more than these and the rotation goes on to
+    // the next, so that in the long run every server has the turns of its weight.
+    private static final double KEY_TURNS = 4;
+    // An odd number with its bits well spread, the golden ratio's, for mixing keys with ids.
+    private static final long MIX = 0x9E3779B97F4A7C15L;
     // Nothing is sent behind more turns than this: a core needs one waiting to stay busy, and held requests
     // can still be overtaken and go to whichever server is free first.
     private static final double MOST_TURNS = 1.5;
@@ -185,6 +190,8 @@
         int probes;
         long probeAt = NEVER;
         Server avoid;
+        // The server that a key is brought to.
+        Server home;
 
         Request(String id, long number, RequestClass type, int row, long arrivedAt, long aimAt,
                 long usefulUntil, double worth) {
@@ -317,6 +324,7 @@
         Request q = new Request(e.id(), requestNumber++, type, Math.min(e.requestClass(), sharedRow),
             now, Math.min(Math.max(now, aimAt), usefulUntil), usefulUntil, worth);
         q.repeat = again;
+        q.home = settings.warmKeys() && e.key() != 0 ? homeOf(e.key()) : null;
         requests.put(q.id, q);
         if (hopeless(q)) {
             giveUp(q);
@@ -566,7 +574,7 @@
         for (Server s : subset) {
             // Departure "reported skip": a server known to hold more than the least is skipped.
             s.candidate &= !sounds && !hears || behind(s) < least + margin;
-            if (s.candidate && (best == null || turn(s, row) > turn(best, row))) {
+            if (s.candidate && (best == null || turn(s, row, q) > turn(best, row, q))) {
                 best = s;
             }
         }
@@ -574,9 +582,26 @@
     }
 
     // A cold server goes first when its chance has come: parts of a budget kept by many are soon idle.
-    private double turn(Server s, int row) {
+    private double turn(Server s, int row, Request q) {
         boolean chance = sounds && s.coldDrawnAt != NEVER && warmth(s, now) < 1;
-        return s.current[row] + s.weight[row] + (chance ? WEIGHT_TOTAL : 0);
+        double early = s == q.home ? KEY_TURNS * WEIGHT_TOTAL : 0;
+        return s.current[row] + s.weight[row] + (chance ? WEIGHT_TOTAL : 0) + early;
+    }
+
+    // Departure "keys": the server of the subset that a key is brought to, by the largest of their hashes with
+    // it: nodes that share servers agree without a word, and a change of the list moves few keys.
+    private Server homeOf(long key) {
+        Server home = null;
+        long most = Long.MIN_VALUE;
+        for (Server s : subset) {
+            long mixed = (key ^ s.id * MIX) * MIX;
+            mixed = (mixed ^ mixed >>> 32) * MIX;
+            if (home == null || mixed > most) {
+                home = s;
+                most = mixed;
+            }
+        }
+        return home;
     }
 
     private void takeTurn(Server chosen, int row) {
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -45,10 +45,11 @@
 
     /**
      * All that a node is told at its start. {@code round}: the least span between two instants at which it
-     * hears anything; {@code repeatsMarked}: clients mark their repeats.
+     * hears anything; {@code repeatsMarked}: clients mark their repeats; {@code warmKeys}: a server that served
+     * a key lately has less work with it.
      */
     public record Settings(int node, int nodes, int zone, long round, Discovery discovery,
-                           boolean reportsLoad, boolean repeatsMarked, double overShareWorth,
+                           boolean reportsLoad, boolean repeatsMarked, boolean warmKeys, double overShareWorth,
                            Limits limits, Rules rules, Prices prices, List<RequestClass> classes,
                            List<Tenant> tenants) { }
 
@@ -87,8 +88,9 @@
     /** A list request failed, or the subscription broke. */
     public record ListFailed() implements Event { }
 
-    public record RequestArrived(String id, int requestClass, int tenant, long giveUpAt, boolean clientRepeat)
-        implements Event { }
+    /** A request; {@code key} is what it is about, and requests of one key are related; 0 for none. */
+    public record RequestArrived(String id, int requestClass, int tenant, long giveUpAt, boolean clientRepeat,
+                                 long key) implements Event { }
 
     /** The answer of a streamed class has begun: the attempt now belongs to the client. */
     public record AnswerStarted(String id, int attempt) implements Event { }
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -183,7 +183,7 @@
         byTraceId.put(fields.traceId(), exchange);
         clients.took(e.client(), exchange);
         learnt.add(new RequestArrived(exchange.id, requestClass, -1, giveUpAt,
-            e.request().fields().secondTry()));
+            e.request().fields().secondTry(), 0));
     }
 
     // The method follows from the class: a keyed request without its key could take effect twice.
--- a/src/main/java/ottergauge/settings/SettingsReader.java
+++ b/src/main/java/ottergauge/settings/SettingsReader.java
@@ -37,7 +37,7 @@
         return new Settings((int) root.number("me", 0), Math.max(1, (int) root.number("balancers", 1)),
             root.list("zones").indexOf(root.text("zone", "")), root.micros("roundMs", 1),
             "pushed".equals(root.text("registryMode", "")) ? Discovery.PUSHED : Discovery.ON_REQUEST,
-            reports && fields.contains("outstanding"), root.child("clients").flag("marksRetry"),
+            reports && fields.contains("outstanding"), root.child("clients").flag("marksRetry"), root.child("specifics").flag("warmKeys"),
             root.number("overShareWorth", 1),
             new Limits(limits.flag("probes"), limits.flag("cancel"),
                 limits.flag("retryAfter"),
--- a/src/main/java/ottergauge/simhost/Instance.java
+++ b/src/main/java/ottergauge/simhost/Instance.java
@@ -59,7 +59,7 @@
         return switch (m.name) {
             case "BackendsChanged" -> list(m, entries);
             case "Query" -> new RequestArrived(id(m), requestClass(m), tenants.getOrDefault(m.tenant, -1),
-                micros(m.giveUpAtMs), (m.attributes & CLIENT_REPEAT) != 0);
+                micros(m.giveUpAtMs), (m.attributes & CLIENT_REPEAT) != 0, m.key);
             case "Headers" -> new AnswerStarted(id(m), m.attempt);
             case "Verdict" -> new AttemptEnded(id(m), m.attempt, m.server, result(m), micros(m.elapsedMs),
                 m.over, m.report);
--- a/src/main/java/ottergauge/simhost/Message.java
+++ b/src/main/java/ottergauge/simhost/Message.java
@@ -16,6 +16,7 @@
     String token;
     long server = -1;
     int attempt = -1;
+    long key;
     int listNumber = -1;
     int attributes;
     boolean over;
--- a/src/main/java/ottergauge/simhost/MessageReader.java
+++ b/src/main/java/ottergauge/simhost/MessageReader.java
@@ -19,6 +19,8 @@
     /** A batch: the clock in milliseconds and its parts. */
     record Batch(double timeMs, List<Part> parts) { }
 
+    private static final int HEXADECIMAL = 16;
+
     private final JsonParser in;
 
     MessageReader(JsonParser in) {
@@ -89,6 +91,7 @@
                 case "msg" -> m.name = text();
                 case "msgId" -> m.requestId = text();
                 case "qos" -> m.requestClass = text();
+                case "pathKey" -> m.key = key();
                 case "project" -> m.tenant = text();
                 case "mode" -> m.mode = text();
                 case "code" -> m.code = text();
@@ -198,6 +201,15 @@
         return in.getLongValue();
     }
 
+    private long key() throws IOException {
+        String hex = text();
+        try {
+            return hex == null ? 0 : Long.parseUnsignedLong(hex, HEXADECIMAL);
+        } catch (NumberFormatException e) {
+            throw new WireException(in.currentName() + " is up to 16 hex digits");
+        }
+    }
+
     /** Seeds may lie over the signed range: the low 64 bits count. */
     private long seed() throws IOException {
         require(in.currentToken() == JsonToken.VALUE_NUMBER_INT, "nonce64 is an integer");
--- a/src/test/java/ottergauge/History.java
+++ b/src/test/java/ottergauge/History.java
@@ -101,7 +101,7 @@
             int type = random.nextInt(settings.classes().size());
             long left = settings.classes().get(type).deadline() * (random.nextInt(4) == 0 ? 1 : 2) / 2;
             plan(at, new RequestArrived("q" + i, type, settings.tenants().isEmpty() ? -1 : 0, at + left,
-                random.nextInt(10) == 0), null);
+                random.nextInt(10) == 0, random.nextInt(5)), null);
             if (random.nextInt(20) == 0) {
                 plan(at + random.nextLong(left), new ClientGone("q" + i), null);
             }
--- a/src/test/java/ottergauge/Node.java
+++ b/src/test/java/ottergauge/Node.java
@@ -27,6 +27,7 @@
     final Decide decide;
     final List<Action> all = new ArrayList<>();
     long now = 1_000_000;
+    long key;
 
     Node(Settings settings) {
         this(settings, 1);
@@ -73,7 +74,7 @@
 
     List<Action> arrive(String id, int requestClass, long giveUpAt, boolean repeat) {
         int tenant = settings.tenants().isEmpty() ? -1 : 0;
-        return on(new RequestArrived(id, requestClass, tenant, giveUpAt, repeat));
+        return on(new RequestArrived(id, requestClass, tenant, giveUpAt, repeat, key));
     }
 
     List<Action> ended(String id, int attempt, long server, Result result, long elapsed) {
--- a/src/test/java/ottergauge/TestSettings.java
+++ b/src/test/java/ottergauge/TestSettings.java
@@ -17,6 +17,7 @@
     boolean probes;
     double probePrice = 0.002;
     boolean repeatsMarked = true;
+    boolean warmKeys;
     int node;
     int nodes = 1;
     long round = 1_000;
@@ -44,7 +45,7 @@
     }
 
     Settings build() {
-        return new Settings(node, nodes, 0, round, discovery, probes, repeatsMarked, 0.1,
+        return new Settings(node, nodes, 0, round, discovery, probes, repeatsMarked, warmKeys, 0.1,
             new Limits(probes, true, true, maxAttempts, 600_000),
             new Rules(5_000, 500_000, 0.2, 10_000_000, 3, 1_000_000), new Prices(probePrice, connectionPrice),
             classes, tenants);
