--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -59,9 +59,6 @@
     // After this part of its aim a request settles for a server that it fits at, emptier ones or not:
     // where a trip or a round is a good part of the aim, the search would use up the time that it saves.
     private static final double SEARCH_PART = 0.1;
-    // A key's server may be given so many turns ahead of its own: more than these and the rotation goes on to
-    // the next, so that in the long run every server has the turns of its weight.
-    private static final double KEY_TURNS = 4;
     // An odd number with its bits well spread, the golden ratio's, for mixing keys with ids.
     private static final long MIX = 0x9E3779B97F4A7C15L;
     // Nothing is sent behind more turns than this: a core needs one waiting to stay busy, and held requests
@@ -584,8 +581,8 @@
     // A cold server goes first when its chance has come: parts of a budget kept by many are soon idle.
     private double turn(Server s, int row, Request q) {
         boolean chance = sounds && s.coldDrawnAt != NEVER && warmth(s, now) < 1;
-        double early = s == q.home ? KEY_TURNS * WEIGHT_TOTAL : 0;
-        return s.current[row] + s.weight[row] + (chance ? WEIGHT_TOTAL : 0) + early;
+        // A key's server may go a turn early, no more: the rotation gives every server the turns of its weight.
+        return s.current[row] + s.weight[row] + (chance || s == q.home ? WEIGHT_TOTAL : 0);
     }
 
     // Departure "keys": the server of the subset that a key is brought to, by the largest of their hashes with
