--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -40,7 +40,7 @@
     // A node's servers, at the least: with a fifth of the fleet silent, fewer would often all be silent.
     private static final int LEAST_SUBSET = 4;
     // And where connections are free: the best of so many is hardly worse than the best of all.
-    private static final int FREE_SUBSET = 32;
+    private static final int FREE_SUBSET = 12;
     // A node has this multiple of what it has out in servers, so that most sends find an idle connection.
     private static final int SUBSET_SPARE = 2;
     // A report is fresh for this part of a service time: the chance that the load changed is as small.
