--- a/src/test/java/ottergauge/DeparturesTest.java
+++ b/src/test/java/ottergauge/DeparturesTest.java
@@ -6,9 +6,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import ottergauge.DecisionApi.Action;
 import ottergauge.DecisionApi.AttemptEnded;
@@ -329,6 +332,60 @@
         assertTrue(sent <= 1, "sent " + sent);
     }
 
+    /** Requests of a key at many servers had all of its work at each; and the rotation must stay even. */
+    @Test
+    void aKeyComesToOneServerAndAllServersKeepTheirTurns() {
+        for (boolean warm : new boolean[] {true, false}) {
+            TestSettings settings = new TestSettings();
+            settings.warmKeys = warm;
+            Node node = new Node(settings.build());
+            node.servers(4);
+            Map<Long, Set<Long>> servers = new HashMap<>();
+            int[] turns = new int[5];
+            SplittableRandom keys = new SplittableRandom(1);
+            for (int i = 0; i < 400; i++) {
+                node.key = keys.nextInt(1, 9);
+                long server = node.serve("q" + i, 50 * MS);
+                turns[(int) server]++;
+                servers.computeIfAbsent(node.key, k -> new HashSet<>()).add(server);
+            }
+            long all = servers.values().stream().filter(used -> used.size() == 4).count();
+            assertTrue(warm ? all < 8 : all == 8, "keys seen by all four servers: " + all);
+            for (int s = 1; s <= 4; s++) {
+                assertTrue(turns[s] >= 80 && turns[s] <= 120, "turns of " + s + ": " + turns[s]);
+            }
+        }
+    }
+
+    /** With a backlog each held request had the subset walked twice at each event: 15 us a request. */
+    @Test
+    void behindABusyFleetOnlyTheHeadOfTheLineSounds() {
+        Node node = warm(probing(), 2, 30, 100 * MS);
+        node.now += 1_000 * MS;
+        for (Probe probe : Node.those(Probe.class, node.arrive("head"))) {
+            Node.those(Probe.class, node.probed(probe.server(), 5)).forEach(p -> node.probed(p.server(), 5));
+        }
+        int probes = 0;
+        for (int i = 0; i < 20; i++) {
+            probes += Node.those(Probe.class, node.arrive("q" + i)).size();
+        }
+        assertEquals(0, probes, "every server is known to be busy");
+    }
+
+    /** Looking on for an emptier server used up the time in which a request still fitted anywhere. */
+    @Test
+    void aRequestThatHasLookedForLongSettlesForAServerThatItFitsAt() {
+        for (boolean longAgo : new boolean[] {false, true}) {
+            Node node = warm(probing(), 3, 30, 50 * MS);
+            node.now += 1_000 * MS;
+            Probe first = Node.only(Probe.class, node.arrive("q"));
+            node.now += longAgo ? 101 * MS : MS;
+            List<Action> actions = node.probed(first.server(), 1);
+            int sent = Node.those(Send.class, actions).size();
+            assertEquals(longAgo ? 1 : 0, sent, "after a tenth of its aim: " + longAgo);
+        }
+    }
+
     // ---- Silence ------------------------------------------------------------------------------------
 
     @Test
--- a/src/test/java/ottergauge/ScaleTest.java
+++ b/src/test/java/ottergauge/ScaleTest.java
@@ -138,6 +138,28 @@
         assertTrue(first.size() >= 28 && most <= 22, first.size() + " servers, most " + most);
     }
 
+    /** Half of all nodes at each server saw the same free core and took it all at once. */
+    @Test
+    void eachServerIsInTheSubsetsOfAFewNodesWhereEveryClientHasItsOwn() {
+        Map<Long, Integer> users = new HashMap<>();
+        TestSettings settings = new TestSettings();
+        settings.nodes = 60;
+        for (int i = 0; i < settings.nodes; i++) {
+            settings.node = i;
+            Node node = new Node(settings.build(), 1000 + i);
+            node.servers(SERVERS);
+            Set<Long> used = new HashSet<>();
+            for (int k = 0; k < 60; k++) {
+                used.add(serve(node, "a" + k, 50 * MS));
+            }
+            assertTrue(used.size() >= 8 && used.size() <= 12, "servers of one node: " + used.size());
+            used.forEach(s -> users.merge(s, 1, Integer::sum));
+        }
+        assertEquals(SERVERS, users.size(), "servers in use");
+        int most = users.values().stream().max(Integer::compare).orElseThrow();
+        assertTrue(most <= 18, "nodes at one server: " + most);
+    }
+
     // ---- Cold servers -------------------------------------------------------------------------------
 
     @Test
