--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -79,6 +80,8 @@
     private static final double SILENT_ANSWERS = 5;
     // One attempt proves no more than this: a costly request also makes a server look silent.
     private static final double SILENT_EACH = 3;
+    // An attempt out for this multiple of what it was expected to take is not waited for: few take so long.
+    private static final double OVERDUE = 4;
     // Up to this part of the cores busy hardly a request waits for one; and what it may be out for noise.
     private static final double SPARE_CORES = 0.6;
     private static final double CORES_NOISE = 0.3;
@@ -241,8 +244,8 @@
     private double repeatsDue;
     private final boolean[] rowLive;
     private final double[] usual;
-    private long sent;
-    private double sendRate;
+    private long served;
+    private double servedRate;
     private double pace;
     private long sentAt;
     private double service;
@@ -474,8 +477,8 @@
     }
 
     private void endWindow() {
-        sendRate = sent / (double) WINDOW / Math.max(1, Math.min(servers.size(), subsetSize()));
-        sent = 0;
+        servedRate = served / (double) WINDOW / Math.max(1, Math.min(servers.size(), subsetSize()));
+        served = 0;
         meanOut = (outTime - outTimeBefore) / WINDOW;
         outTimeBefore = outTime;
         windowEnd += ((now - windowEnd) / WINDOW + 1) * WINDOW;
@@ -813,7 +816,6 @@
             chooseSubset();
         }
         s.load += 1;
-        sent++;
         if (!held.isEmpty()) {
             pace = blend(pace, now - sentAt);
         }
@@ -870,6 +872,7 @@
         switch (e.result()) {
             case SERVED -> {
                 sample(s, a.request.row, e.elapsed());
+                served++;
                 answered(s);
                 // One that fails some of its requests would begin anew after each that it serves.
                 s.strikes = hears ? s.strikes / 2 : 0;
@@ -934,8 +937,8 @@
 
     // The sends to a server, by the last window or, before one has ended, by this one.
     private double rate() {
-        double part = sent / (double) (WINDOW - (windowEnd - now) + 1) / Math.max(1, subset.size());
-        return sendRate > 0 ? sendRate : Math.max(part, 1.0 / WINDOW);
+        double part = served / (double) (WINDOW - (windowEnd - now) + 1) / Math.max(1, subset.size());
+        return servedRate > 0 ? servedRate : Math.max(part, 1.0 / WINDOW);
     }
 
     private void probeEnded(ProbeEnded e) {
@@ -974,6 +977,7 @@
             return;
         }
         lookAt = now + LOOK_EVERY;
+        LinkedHashSet<Attempt> overdue = new LinkedHashSet<>();
         for (Attempt a : out) {
             a.server.due = 0;
         }
@@ -982,14 +986,18 @@
             double expected = sounds || hears ? serviceOf(s) * turns(a.loadBefore) : usual[a.request.row];
             double waits = expected > 0 ? (now - Math.max(a.sentAt, s.answeredAt)) / expected : 0;
             s.due += Math.min(waits, SILENT_EACH);
+            if (expected > 0 && now - a.sentAt > OVERDUE * expected) {
+                overdue.add(a);
+            }
         }
         for (Attempt a : new ArrayList<>(out)) {
             Server s = a.server;
             if (s.due > SILENT_ANSWERS && now >= s.barredUntil && !manyBarred()) {
                 strike(s);
-                moveAway(s);
+                overdue.addAll(s.out);
             }
         }
+        overdue.forEach(this::moveOn);
     }
 
     // What half of the fleet shows is no single server's trouble, and the rest could not carry the load.
@@ -997,14 +1005,15 @@
         return 2 * servers.stream().filter(s -> now < s.barredUntil).count() >= subset.size();
     }
 
-    // Departure "silence": what is out at a silent server is tried elsewhere, where a repeat is allowed.
-    private void moveAway(Server s) {
-        for (Attempt a : new ArrayList<>(s.out)) {
-            Request q = a.request;
-            if (!q.over && !q.started && q.type.repeat() == Repeat.SAFE && settings.limits().cancel()
-                && q.attempts < settings.limits().maxAttempts() && !doomed(q)) {
-                sink.accept(new Cancel(q.id, a.number));
-            }
+    // Departure "silence": what is out at a silent server, or out for far too long, is tried anew where a repeat
+    // is allowed and can still be in time. A quiet node seldom has two attempts at a server to tell by.
+    private void moveOn(Attempt a) {
+        Request q = a.request;
+        boolean mayRepeat = q.type.repeat() == Repeat.SAFE
+            || q.type.repeat() == Repeat.KEYED && now < a.sentAt + q.type.window() / 2;
+        if (!q.over && !q.started && mayRepeat && settings.limits().cancel()
+            && q.attempts < settings.limits().maxAttempts() && !doomed(q)) {
+            sink.accept(new Cancel(q.id, a.number));
         }
     }
 
@@ -1046,7 +1055,7 @@
     // where loads are known, else of what this node sends to the mean server, which that one carries.
     private double coldBudget(double warmth) {
         double nodes = Math.max(1, settings.nodes() * Math.min(1, subset.size() / (double) servers.size()));
-        double perServer = sounds && service > 0 ? cores / service / nodes : sendRate;
+        double perServer = sounds && service > 0 ? cores / service / nodes : servedRate;
         double capacity = settings.rules().fallAfter() * perServer;
         double part = COLD_CAUTION * settings.rules().tipMultiple() * warmth * capacity;
         return Math.max(part, Math.min(1, LEAST_SENDS / nodes));
