--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -81,7 +81,7 @@
     // One attempt proves no more than this: a costly request also makes a server look silent.
     private static final double SILENT_EACH = 3;
     // An attempt out for this multiple of what it was expected to take is not waited for: few take so long.
-    private static final double OVERDUE = 4;
+    private static final double OVERDUE = 6;
     // Up to this part of the cores busy hardly a request waits for one; and what it may be out for noise.
     private static final double SPARE_CORES = 0.6;
     private static final double CORES_NOISE = 0.3;
@@ -879,7 +879,12 @@
                 s.errors = 0;
                 learn(s, a, e.elapsed());
             }
-            case TIMED_OUT -> learn(s, a, e.elapsed());
+            case TIMED_OUT -> {
+                // An answer that is lost for good tells nothing of the fleet's speed: taken whole, a few of
+                // them made every server too slow for any request.
+                double most = service > 0 ? SILENT_EACH * service * turns(a.loadBefore) : e.elapsed();
+                learn(s, a, (long) Math.min(e.elapsed(), most));
+            }
             case CONNECT_FAILED, RESET -> {
                 s.lost = true;
                 strike(s);
