--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -882,7 +882,7 @@
             case TIMED_OUT -> {
                 // An answer that is lost for good tells nothing of the fleet's speed: taken whole, a few of
                 // them made every server too slow for any request.
-                double most = service > 0 ? SILENT_EACH * service * turns(a.loadBefore) : e.elapsed();
+                double most = service > 0 ? SILENT_ANSWERS * service * turns(a.loadBefore) : e.elapsed();
                 learn(s, a, (long) Math.min(e.elapsed(), most));
             }
             case CONNECT_FAILED, RESET -> {
