--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -85,6 +85,9 @@
     // Up to this part of the cores busy hardly a request waits for one; and what it may be out for noise.
     private static final double SPARE_CORES = 0.6;
     private static final double CORES_NOISE = 0.3;
+    // What is reported busy is a mean over a second or so: of a fleet that has just been woken with a burst it
+    // tells far too little, and three cores were taken for thirty.
+    private static final long WAKING = 2_000_000;
     // So many busy cores in reports tell how many there are; of twice as many the older half is forgotten.
     private static final double CORES_SEEN = 4;
     // Departure "errors": so many in a row bar a server. One that fails at once looks idle and draws sends.
@@ -252,6 +255,7 @@
     private final Map<Integer, Double> trips = new HashMap<>();
     private long requestNumber;
     private long windowEnd = NEVER;
+    private long wokenAt = NEVER;
     private long lookAt = NEVER;
     private long askAt = Long.MAX_VALUE;
     private int asksFailed;
@@ -278,6 +282,7 @@
     public void handle(long at, Event event, ActionSink out) {
         if (windowEnd == NEVER) {
             windowEnd = at + WINDOW;
+            wokenAt = at + WAKING;
             now = at;
             if (settings.discovery() == Discovery.ON_REQUEST) {
                 askAt = at + random.nextLong(FIRST_ASK_WITHIN);
@@ -716,7 +721,7 @@
     private void learnCores(LoadReport r) {
         boolean waiting = r.queued() >= 1;
         double busy = waiting ? 1 : r.utilization();
-        if (!(r.inFlight() >= 0) || !(busy > 0) || !waiting && busy > SPARE_CORES) {
+        if (!(r.inFlight() >= 0) || !(busy > 0) || !waiting && (busy > SPARE_CORES || now < wokenAt)) {
             return;
         }
         running += waiting ? r.inFlight() - r.queued() : r.inFlight();
@@ -882,7 +887,7 @@
             case TIMED_OUT -> {
                 // An answer that is lost for good tells nothing of the fleet's speed: taken whole, a few of
                 // them made every server too slow for any request.
-                double most = service > 0 ? SILENT_ANSWERS * service * turns(a.loadBefore) : e.elapsed();
+                double most = service > 0 ? SILENT_EACH * service * turns(a.loadBefore) : e.elapsed();
                 learn(s, a, (long) Math.min(e.elapsed(), most));
             }
             case CONNECT_FAILED, RESET -> {
