--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -82,6 +82,9 @@
     private static final double SILENT_EACH = 3;
     // An attempt out for this multiple of what it was expected to take is not waited for: few take so long.
     private static final double OVERDUE = 6;
+    // But only while more than this part of the attempts goes unanswered: else what takes long is a long
+    // request, which may run on when it is given up, and all of its work is wasted.
+    private static final double LOST_PART = 0.15;
     // Up to this part of the cores busy hardly a request waits for one; and what it may be out for noise.
     private static final double SPARE_CORES = 0.6;
     private static final double CORES_NOISE = 0.3;
@@ -247,6 +250,7 @@
     private double repeatsDue;
     private final boolean[] rowLive;
     private final double[] usual;
+    private double unanswered;
     private long served;
     private double servedRate;
     private double pace;
@@ -849,6 +853,10 @@
             report(s, e.report(), e.result() == Result.SERVED ? 1 : 0);
         }
         judge(s, a, e);
+        boolean given = e.result() == Result.TIMED_OUT || e.result() == Result.CANCELLED && !q.over;
+        if (given || e.result() == Result.SERVED) {
+            unanswered += BLEND * ((given ? 1 : 0) - unanswered);
+        }
         if (!e.result().neverRan() && q.firstThatMayHaveRun == null) {
             q.firstThatMayHaveRun = a;
         }
@@ -996,7 +1004,7 @@
             double expected = sounds || hears ? serviceOf(s) * turns(a.loadBefore) : usual[a.request.row];
             double waits = expected > 0 ? (now - Math.max(a.sentAt, s.answeredAt)) / expected : 0;
             s.due += Math.min(waits, SILENT_EACH);
-            if (expected > 0 && now - a.sentAt > OVERDUE * expected) {
+            if (unanswered > LOST_PART && expected > 0 && now - a.sentAt > OVERDUE * expected) {
                 overdue.add(a);
             }
         }
