--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -88,8 +88,8 @@
     // Up to this part of the cores busy hardly a request waits for one; and what it may be out for noise.
     private static final double SPARE_CORES = 0.6;
     private static final double CORES_NOISE = 0.3;
-    // What is reported busy is a mean over a second or so: of a fleet that has just been woken with a burst it
-    // tells far too little, and three cores were taken for thirty.
+    // What is reported busy is a mean over a second or so: of a fleet that a burst has just woken it tells
+    // far too little, and three cores were taken for thirty.
     private static final long WAKING = 2_000_000;
     // So many busy cores in reports tell how many there are; of twice as many the older half is forgotten.
     private static final double CORES_SEEN = 4;
@@ -597,12 +597,12 @@
     // A cold server goes first when its chance has come: parts of a budget kept by many are soon idle.
     private double turn(Server s, int row, Request q) {
         boolean chance = sounds && s.coldDrawnAt != NEVER && warmth(s, now) < 1;
-        // A key's server may go a turn early, no more: the rotation gives every server the turns of its weight.
+        // A key's server may go a turn early, no more: the rotation gives each the turns of its weight.
         return s.current[row] + s.weight[row] + (chance || s == q.home ? WEIGHT_TOTAL : 0);
     }
 
-    // Departure "keys": the server of the subset that a key is brought to, by the largest of their hashes with
-    // it: nodes that share servers agree without a word, and a change of the list moves few keys.
+    // Departure "keys": the server of the subset that a key is brought to, by the largest of their hashes
+    // with it: nodes that share servers agree without a word, and a change of the list moves few keys.
     private Server homeOf(long key) {
         Server home = null;
         long most = Long.MIN_VALUE;
@@ -1023,8 +1023,8 @@
         return 2 * servers.stream().filter(s -> now < s.barredUntil).count() >= subset.size();
     }
 
-    // Departure "silence": what is out at a silent server, or out for far too long, is tried anew where a repeat
-    // is allowed and can still be in time. A quiet node seldom has two attempts at a server to tell by.
+    // Departure "silence": what is out at a silent server, or out for far too long, is tried anew where a
+    // repeat is allowed and can still be in time. A quiet node seldom has two attempts at one server.
     private void moveOn(Attempt a) {
         Request q = a.request;
         boolean mayRepeat = q.type.repeat() == Repeat.SAFE
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -45,13 +45,13 @@
 
     /**
      * All that a node is told at its start. {@code round}: the least span between two instants at which it
-     * hears anything; {@code repeatsMarked}: clients mark their repeats; {@code warmKeys}: a server that served
-     * a key lately has less work with it.
+     * hears anything; {@code repeatsMarked}: clients mark their repeats; {@code warmKeys}: a server that
+     * served a key lately has less work with it.
      */
     public record Settings(int node, int nodes, int zone, long round, Discovery discovery,
-                           boolean reportsLoad, boolean repeatsMarked, boolean warmKeys, double overShareWorth,
-                           Limits limits, Rules rules, Prices prices, List<RequestClass> classes,
-                           List<Tenant> tenants) { }
+                           boolean reportsLoad, boolean repeatsMarked, boolean warmKeys,
+                           double overShareWorth, Limits limits, Rules rules, Prices prices,
+                           List<RequestClass> classes, List<Tenant> tenants) { }
 
     // ---- Events ---------------------------------------------------------------------------------
 
