Tenants taken out; a migrated file starts a node on loopback; the address is a request's key

NodeIT goes the whole way: an old file translated, a node started that asks for its list, SIGHUP with a bad roundMs changes nothing, bad settings end a start with the key named.

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -203,7 +203,7 @@
         Server home;
 
         Request(String id, long number, RequestClass type, int row, long arrivedAt, long aimAt,
-                long usefulUntil, double worth) {
+                long usefulUntil) {
             this.id = id;
             this.number = number;
             this.type = type;
@@ -212,7 +212,7 @@
             this.aimAt = aimAt;
             this.usefulUntil = usefulUntil;
             this.end = aimAt;
-            this.worth = worth;
+            worth = type.worth();
         }
     }
 
@@ -245,7 +245,6 @@
     private final Map<String, Request> requests = new HashMap<>();
     private final TreeSet<Request> held = new TreeSet<>(BY_WORTH);
     private final TreeSet<Request> heldByEnd = new TreeSet<>(BY_END);
-    private final double[] shareUntil;
     private final long[] longestTry;
     private double repeatsDue;
     private final boolean[] rowLive;
@@ -279,7 +278,6 @@
             && settings.prices().probe() * 2 <= PROBE_SPEND;
         double price = settings.prices().probe();
         mostProbes = (int) Math.min(FREE_SUBSET, price > 0 ? PROBE_SPEND / price : FREE_SUBSET);
-        shareUntil = new double[settings.tenants().size()];
     }
 
     /** Takes one event; the actions are to happen at the same instant, in their order. */
@@ -332,9 +330,8 @@
         long began = again ? Math.min(now, e.giveUpAt() - type.deadline()) : now;
         long aimAt = began + type.aim() - CLIENT_TRIP;
         long usefulUntil = Math.max(now, type.lateWorth() > 0 ? e.giveUpAt() : Math.min(aimAt, e.giveUpAt()));
-        double worth = type.worth() * (withinShare(e.tenant()) ? 1 : settings.overShareWorth());
         Request q = new Request(e.id(), requestNumber++, type, Math.min(e.requestClass(), sharedRow),
-            now, Math.min(Math.max(now, aimAt), usefulUntil), usefulUntil, worth);
+            now, Math.min(Math.max(now, aimAt), usefulUntil), usefulUntil);
         q.repeat = again;
         q.home = settings.warmKeys() && e.key() != 0 ? homeOf(e.key()) : null;
         requests.put(q.id, q);
@@ -366,19 +363,6 @@
         return repeat;
     }
 
-    // A tenant's requests past its share are worth little. Up to a second's, or two, may come at once.
-    private boolean withinShare(int tenant) {
-        if (tenant < 0) {
-            return true;
-        }
-        double gap = 1e6 * settings.nodes() / settings.tenants().get(tenant).quotaPerSecond();
-        boolean within = shareUntil[tenant] <= now + Math.max(1e6 - gap, gap);
-        if (within) {
-            shareUntil[tenant] = Math.max(shareUntil[tenant], now) + gap;
-        }
-        return within;
-    }
-
     private void hold(Request q) {
         q.held = true;
         held.add(q);
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -7,7 +7,7 @@
  * The interface of the decision module {@link Decide}: what it is told, and what it may ask for.
  *
  * <p>All times are microseconds: instants on the clock of the events, spans as differences of it. Classes,
- * tenants, zones and kinds are indices into the settings' lists; -1 stands for none.
+ * zones and kinds are indices into the settings' lists; -1 stands for none.
  */
 public final class DecisionApi {
 
@@ -29,9 +29,6 @@
     public record RequestClass(String name, Repeat repeat, Group group, long aim, long deadline, long window,
                                double worth, double lateWorth, boolean streamed) { }
 
-    /** A tenant; its quota holds for all nodes together. */
-    public record Tenant(String name, double portion, double quotaPerSecond) { }
-
     /** What the deployment permits. */
     public record Limits(boolean probes, boolean cancel, boolean retryAfter,
                          int maxAttempts, long maxRetryAfter) { }
@@ -50,8 +47,7 @@
      */
     public record Settings(int node, int nodes, int zone, long round, Discovery discovery,
                            boolean reportsLoad, boolean repeatsMarked, boolean warmKeys,
-                           double overShareWorth, Limits limits, Rules rules, Prices prices,
-                           List<RequestClass> classes, List<Tenant> tenants) { }
+                           Limits limits, Rules rules, Prices prices, List<RequestClass> classes) { }
 
     // ---- Events ---------------------------------------------------------------------------------
 
@@ -89,7 +85,7 @@
     public record ListFailed() implements Event { }
 
     /** A request; {@code key} is what it is about, and requests of one key are related; 0 for none. */
-    public record RequestArrived(String id, int requestClass, int tenant, long giveUpAt, boolean clientRepeat,
+    public record RequestArrived(String id, int requestClass, long giveUpAt, boolean clientRepeat,
                                  long key) implements Event { }
 
     /** The answer of a streamed class has begun: the attempt now belongs to the client. */
--- a/src/main/java/ottergauge/migration/Migration.java
+++ b/src/main/java/ottergauge/migration/Migration.java
@@ -25,9 +25,12 @@
     private static final Set<String> OBJECTS =
         Set.of("ceilings", "rules", "penalties", "clients", "blend", "specifics");
     private static final Set<String> PLAIN = Set.of("me", "balancers", "zone", "zones", "kinds",
-        "registryMode", "roundMs", "overShareWorth", "classes", "parties", "reporting", "weights", "worthBy",
+        "registryMode", "roundMs", "classes", "reporting", "weights", "worthBy",
         "family", "stages", "tier");
 
+    // Nodes no longer tell tenants apart; of a file that names none nothing is lost.
+    private static final Set<String> TENANTS = Set.of("parties", "overShareWorth");
+
     private final Map<String, Object> old;
     private final Map<String, Object> shape;
     private final Map<String, Object> settings = new LinkedHashMap<>();
@@ -75,7 +78,11 @@
 
     private void settings() throws MigrationException {
         for (String key : old.keySet()) {
-            if (!PLAIN.contains(key) && !OBJECTS.contains(key)) {
+            if (TENANTS.contains(key)) {
+                if (old.get("parties") instanceof List<?> tenants && !tenants.isEmpty()) {
+                    left.add(new Leftover("settings." + key, old.get(key), "nodes tell no tenants apart"));
+                }
+            } else if (!PLAIN.contains(key) && !OBJECTS.contains(key)) {
                 left.add(new Leftover("settings." + key, old.get(key), "is no setting that a node knows"));
             } else if (!shape.containsKey(key) && !"kinds".equals(key)) {
                 settings.put(key, old.get(key));
@@ -98,9 +105,12 @@
         if (!zones.contains(shape.get("zone"))) {
             throw new MigrationException("zone is not one of the shape's zones");
         }
-        missing("zones", zones);
-        if (shape.containsKey("parties")) {
-            missing("parties", names(list(shape.get("parties"), "parties")));
+        if (old.get("zones") != null) {
+            for (Object zone : list(old.get("zones"), "settings.zones")) {
+                if (!zones.contains(zone)) {
+                    left.add(new Leftover("settings.zones", zone, "has no counterpart in the shape"));
+                }
+            }
         }
         settings.put("classes", classes(zones.equals(old.get("zones"))));
     }
@@ -135,23 +145,6 @@
         return result;
     }
 
-    private void missing(String key, List<?> present) throws MigrationException {
-        List<?> before = old.get(key) == null ? List.of() : list(old.get(key), "settings." + key);
-        for (Object name : "parties".equals(key) ? names(before) : before) {
-            if (!present.contains(name)) {
-                left.add(new Leftover("settings." + key, name, "has no counterpart in the shape"));
-            }
-        }
-    }
-
-    private static List<Object> names(List<?> entries) throws MigrationException {
-        List<Object> names = new ArrayList<>();
-        for (Object entry : entries) {
-            names.add(object(entry, "parties").get("name"));
-        }
-        return names;
-    }
-
     private static Map<String, Object> merged(Map<String, Object> before, Map<String, Object> over) {
         Map<String, Object> result = new LinkedHashMap<>(before);
         result.putAll(over);
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -182,8 +182,13 @@
         exchanges.put(exchange.id, exchange);
         byTraceId.put(fields.traceId(), exchange);
         clients.took(e.client(), exchange);
-        learnt.add(new RequestArrived(exchange.id, requestClass, -1, giveUpAt,
-            e.request().fields().secondTry(), 0));
+        learnt.add(new RequestArrived(exchange.id, requestClass, giveUpAt,
+            e.request().fields().secondTry(), key(e.request())));
+    }
+
+    // What a request is about is its address: requests of one address find each other's work at a server.
+    private static long key(ClientRequest request) {
+        return request.uri().hashCode();
     }
 
     // The method follows from the class: a keyed request without its key could take effect twice.
--- a/src/main/java/ottergauge/settings/SettingsReader.java
+++ b/src/main/java/ottergauge/settings/SettingsReader.java
@@ -12,7 +12,6 @@
 import ottergauge.DecisionApi.RequestClass;
 import ottergauge.DecisionApi.Rules;
 import ottergauge.DecisionApi.Settings;
-import ottergauge.DecisionApi.Tenant;
 
 /** Reads a deployment's settings object; an optional key that is missing takes the cautious value. */
 public final class SettingsReader {
@@ -39,7 +38,6 @@
             "pushed".equals(root.text("registryMode", "")) ? Discovery.PUSHED : Discovery.ON_REQUEST,
             reports && fields.contains("outstanding"), root.child("clients").flag("marksRetry"),
             root.child("specifics").flag("warmKeys"),
-            root.number("overShareWorth", 1),
             new Limits(limits.flag("probes"), limits.flag("cancel"),
                 limits.flag("retryAfter"),
                 Math.max(1, (int) limits.number("maxAttempts", 1)), limits.micros("maxRetryAfterMs", 0)),
@@ -47,8 +45,7 @@
                 rules.number("coldFrom", 0.1), rules.micros("coldMs", 30_000),
                 rules.number("tipMultiple", 1), rules.micros("fallMs", 1000)),
             new Prices(prices.number("probe", 0), prices.number("connection", 0)),
-            root.children("classes").stream().map(SettingsReader::requestClass).toList(),
-            root.children("parties").stream().map(SettingsReader::tenant).toList());
+            root.children("classes").stream().map(SettingsReader::requestClass).toList());
     }
 
     /** What is wrong with settings that a person wrote, by key; null if nothing is. */
@@ -58,7 +55,9 @@
         for (SettingsReader c : root.children("classes")) {
             fault = first(fault, first(c.fault("lateWorth", 0, 1), c.fault("aimMs", 0, Double.MAX_VALUE)));
         }
-        return first(fault, root.child("penalties").fault("probe", 0, Double.MAX_VALUE));
+        Object warm = root.child("specifics").config.get("warmKeys");
+        return first(first(fault, root.child("penalties").fault("probe", 0, Double.MAX_VALUE)),
+            warm == null || warm instanceof Boolean ? null : "warmKeys is true or false, not " + warm);
     }
 
     private static String first(String one, String other) {
@@ -91,10 +90,6 @@
             c.flag("streamed"));
     }
 
-    private static Tenant tenant(SettingsReader t) {
-        return new Tenant(t.text("name", ""), t.number("portion", 0), t.number("quotaPerS", 0));
-    }
-
     public static List<String> names(Map<String, Object> config, String key) {
         List<String> names = new ArrayList<>();
         for (Object name : new SettingsReader(config).list(key)) {
--- a/src/test/java/ottergauge/program/NodeIT.java
+++ b/src/test/java/ottergauge/program/NodeIT.java
@@ -9,10 +9,14 @@
 import static ottergauge.protocol.TestConfig.host;
 import static ottergauge.protocol.TestConfig.list;
 
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,6 +30,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import ottergauge.program.RunningNode.Client;
 import ottergauge.protocol.TestConfig;
+import picocli.CommandLine;
 
 /** Starts the built program as the platform does and speaks to it over loopback. */
 @Timeout(120)
@@ -341,6 +346,60 @@
         }
     }
 
+    /** The whole way of the move: an old file translated, a node started with it that asks for its list. */
+    @Test
+    void aMigratedConfigurationStartsANodeThatAsksThoughItsListIsSaidToBePushed() throws Exception {
+        Path shape = Files.writeString(folder.resolve("shape.json"), """
+            {"balancers":98,"me":3,"zones":["room"],"zone":"room","registryMode":"pushed","roundMs":5,
+             "specifics":{"warmKeys":true},"reporting":{"how":"on_probe","fields":["outstanding"]}}
+            """);
+        try (StubServer server = StubServer.obedient();
+             StubServer discovery = new StubServer((request, connection) -> {
+                 if (!request.target().contains("after=1&")) {
+                     connection.getOutputStream().write(HttpMessage.response(200, "", list(1, true,
+                         host("s-1", server.address(), "in_service"))));
+                 }
+                 return true;
+             })) {
+            int port = RunningNode.freePort();
+            Path old = Files.writeString(folder.resolve("old.json"), new TestConfig()
+                .knows(host("gone", NOWHERE, "in_service"))
+                .at("127.0.0.1:" + port, discovery.address()).json());
+            Path migrated = folder.resolve("new.json");
+            assertEquals(3, new CommandLine(new Main()).setOut(new PrintWriter(new StringWriter()))
+                .execute("migrate", old.toString(), "--to", shape.toString(), "--out", migrated.toString()));
+            try (RunningNode node = RunningNode.start(folder, Files.readString(migrated), port)) {
+                node.await("served", () -> {
+                    try (Client client = node.client()) {
+                        return client.ask(Client.request("read", "ok", "")).status() == 200;
+                    } catch (IOException e) {
+                        return false;
+                    }
+                });
+                String good = Files.readString(migrated);
+                node.hangUp(good.replaceAll("\"roundMs\" : 5", "\"roundMs\" : \"five\""));
+                node.awaitLog("roundMs");
+                node.awaitLog("stays in force");
+                try (Client client = node.client()) {
+                    assertEquals(200, client.ask(Client.request("read", "ok", "")).status());
+                }
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\"roundMs\":-1", "\"roundMs\":\"5\"", "\"roundMs\":1e9",
+        "\"specifics\":{\"warmKeys\":1}", "\"penalties\":{\"probe\":-2}"})
+    void aBadSettingEndsTheStartWithItsKeyNamed(String bad) throws Exception {
+        String config = new TestConfig().json().replace("\"settings\":{", "\"settings\":{" + bad + ",")
+            .replace("\"penalties\":{\"probe\":0.002},", "");
+        try (RunningNode node = RunningNode.start(folder, config, 1)) {
+            assertEquals(1, node.exitCode());
+            String key = bad.replaceAll("\"[^\"]*\":\\{", "").replaceAll("^\"|\".*", "");
+            assertTrue(node.log().contains(key), key + " in " + node.log());
+        }
+    }
+
     @Test
     void aNodeToldToStopAnswersWhatItHasTakenAndEnds() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
