--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -882,16 +882,27 @@
                 double most = service > 0 ? SILENT_EACH * service * turns(a.loadBefore) : e.elapsed();
                 learn(s, a, (long) Math.min(e.elapsed(), most));
             }
-            case CONNECT_FAILED, RESET -> {
-                s.lost = true;
-                strike(s);
-            }
+            case CONNECT_FAILED -> lose(s);
+            case RESET -> broken(s);
             case ERROR -> failed(s);
             case REJECTED -> s.barredUntil = Math.max(s.barredUntil, now + (long) (service / 2));
             default -> { }
         }
     }
 
+    private void lose(Server s) {
+        s.lost = true;
+        strike(s);
+    }
+
+    // A process that dies breaks all that is out and takes no more connections: one break proves no death.
+    // Where breaks hit all servers at random, each was barred, and then held to a cold one's budget.
+    private void broken(Server s) {
+        if (hears || ++s.errors >= ERRORS_IN_A_ROW) {
+            lose(s);
+        }
+    }
+
     private void failed(Server s) {
         // A node that meets a server once in a while is told by the first error, or it learns of it too late.
         if (++s.errors >= (hears ? 1 : ERRORS_IN_A_ROW) && !manyBarred()) {
@@ -963,8 +974,11 @@
             news = crowd(s) < cores;
         } else if (e.result() == Result.ERROR) {
             failed(s);
+        } else if (e.result() == Result.RESET) {
+            broken(s);
+        } else if (e.result() == Result.CONNECT_FAILED) {
+            lose(s);
         } else {
-            s.lost |= e.result() == Result.CONNECT_FAILED || e.result() == Result.RESET;
             strike(s);
         }
     }
--- a/src/test/java/ottergauge/DeparturesTest.java
+++ b/src/test/java/ottergauge/DeparturesTest.java
@@ -448,6 +448,34 @@
         }
     }
 
+    /** Connections broken at random had every server barred and then held to a cold one's budget. */
+    @Test
+    void oneBreakIsChanceAndTwoInARowAreADeadServer() {
+        for (int breaks = 1; breaks <= 2; breaks++) {
+            TestSettings settings = probing();
+            settings.classes = List.of(TestSettings.type(Repeat.UNSAFE, Group.ALL));
+            Node node = warm(settings, 1, 30, 50 * MS);
+            for (int i = 0; i < breaks; i++) {
+                assertEquals(1, probedSend(node, "broken" + i));
+                node.now += 10 * MS;
+                node.ended("broken" + i, 0, 1, Result.RESET, 10 * MS);
+            }
+            List<Action> next = node.arrive("q");
+            boolean used = !Node.those(Probe.class, next).isEmpty()
+                || !Node.those(Send.class, next).isEmpty();
+            assertEquals(breaks == 1, used, "after " + breaks);
+        }
+    }
+
+    /** Sends a request, its server idle by its probe, and returns the server without an answer. */
+    private static long probedSend(Node node, String id) {
+        List<Action> actions = node.arrive(id);
+        while (Node.those(Send.class, actions).isEmpty()) {
+            actions = node.probed(Node.only(Probe.class, actions).server(), 0);
+        }
+        return Node.only(Send.class, actions).server();
+    }
+
     // ---- Silence ------------------------------------------------------------------------------------
 
     @Test
