--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -42,9 +42,9 @@
     private static final int LEAST_SUBSET = 4;
     // And where connections are free: the best of so many is hardly worse than the best of all.
     private static final int FREE_SUBSET = 32;
-    // A server is in the subset of so many nodes, at the least: with fewer nodes than that each has all. More
-    // see and take the same free core, and a node of little traffic hears of each of its servers too seldom.
-    private static final int LEAST_NODES = 12;
+    // Of these a node has a dozen, or so many that each server is in a dozen subsets, if that is more. With all
+    // of them more nodes see and take the same free core, and hear of each server too seldom.
+    private static final int DOZEN = 12;
     // A node has this multiple of what it has out in servers, so that most sends find an idle connection.
     private static final int SUBSET_SPARE = 2;
     // A report is fresh for this part of a service time: the chance that the load changed is as small.
@@ -516,7 +516,7 @@
         double perServer = settings.nodes() / (100.0 * Math.max(1, servers.size()));
         double price = settings.prices().connection() * perServer;
         double paid = price > 0 ? Math.min(FREE_SUBSET, CONNECTION_SPEND / price) : FREE_SUBSET;
-        paid = Math.min(paid, LEAST_NODES * servers.size() / (double) settings.nodes());
+        paid = Math.min(paid, DOZEN * Math.max(1, servers.size() / (double) settings.nodes()));
         return (int) Math.max(LEAST_SUBSET, Math.max(paid, Math.max(out.size(), SUBSET_SPARE * meanOut)));
     }
 
