--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -42,7 +42,7 @@
     private static final int LEAST_SUBSET = 4;
     // And where connections are free: the best of so many is hardly worse than the best of all.
     private static final int FREE_SUBSET = 32;
-    // Of these a node has a dozen, or so many that each server is in a dozen subsets, if that is more. With all
+    // Of these a node has a dozen, or so many that each server is in a dozen subsets, if more: with all
     // of them more nodes see and take the same free core, and hear of each server too seldom.
     private static final int DOZEN = 12;
     // A node has this multiple of what it has out in servers, so that most sends find an idle connection.
@@ -70,8 +70,6 @@
     private static final double MOST_TURNS = 1.5;
     // Less than this part of a service time left to the aim: the request can no longer make it.
     private static final double DOOMED_PART = 0.6;
-    // Where loads are not known, the time left must cover this multiple of what the class usually takes.
-    private static final double LATE_PART = 2;
     // A sounded server that has not answered for this multiple of the usual trip is mute.
     private static final double MUTE_TRIPS = 4;
     // The trip to a zone that no probe has come back from.
@@ -248,7 +246,6 @@
     private final long[] longestTry;
     private double repeatsDue;
     private final boolean[] rowLive;
-    private final double[] usual;
     private double unanswered;
     private long served;
     private double servedRate;
@@ -273,7 +270,6 @@
         sharedRow = Math.min(settings.classes().size(), MOST_ROWS);
         longestTry = new long[settings.classes().size()];
         rowLive = new boolean[sharedRow + 1];
-        usual = new double[sharedRow + 1];
         sounds = settings.limits().probes() && settings.reportsLoad()
             && settings.prices().probe() * 2 <= PROBE_SPEND;
         double price = settings.prices().probe();
@@ -787,8 +783,7 @@
     // The time that must be left. With half of its aim left a request is always worth a try: a class refused
     // on arrival yields no samples, and would be refused for ever after one bad spell.
     private double needed(Request q) {
-        double usually = sounds || hears ? DOOMED_PART * service : LATE_PART * usual[q.row];
-        return Math.min(usually, q.type.aim() / 2.0);
+        return Math.min(DOOMED_PART * service, q.type.aim() / 2.0);
     }
 
     // Departure "soundings": half of a request's probes may follow each other, the rest is spread over its
@@ -913,8 +908,6 @@
 
     // What an attempt took, at the least: left out, those that ran out of time hide that all is slow.
     private void learn(Server s, Attempt a, long elapsed) {
-        int row = a.request.row;
-        usual[row] = blend(usual[row], elapsed);
         double alone = elapsed / turns(a.loadBefore);
         service = blend(service, alone);
         s.slowness = blend(s.slowness, alone / service);
@@ -999,7 +992,7 @@
         }
         for (Attempt a : out) {
             Server s = a.server;
-            double expected = sounds || hears ? serviceOf(s) * turns(a.loadBefore) : usual[a.request.row];
+            double expected = serviceOf(s) * turns(a.loadBefore);
             double waits = expected > 0 ? (now - Math.max(a.sentAt, s.answeredAt)) / expected : 0;
             s.due += Math.min(waits, SILENT_EACH);
             if (unanswered > LOST_PART && expected > 0 && now - a.sentAt > OVERDUE * expected) {
