--- a/src/main/java/ottergauge/settings/SettingsReader.java
+++ b/src/main/java/ottergauge/settings/SettingsReader.java
@@ -19,6 +19,8 @@
     // A node that hears of things once a minute decides nothing in time; under a microsecond is no span here.
     private static final double LEAST_ROUND_MS = 0.001;
     private static final double MOST_ROUND_MS = 60_000;
+    // Far more than any fleet; a node's part of a cold server's budget is divided by it.
+    private static final double MOST_NODES = 1_000_000;
 
     private final Map<String, Object> config;
 
@@ -51,7 +53,8 @@
     /** What is wrong with settings that a person wrote, by key; null if nothing is. */
     public static String fault(Map<String, Object> config) {
         SettingsReader root = new SettingsReader(config);
-        String fault = root.fault("roundMs", LEAST_ROUND_MS, MOST_ROUND_MS);
+        String fault = first(root.fault("roundMs", LEAST_ROUND_MS, MOST_ROUND_MS),
+            first(root.fault("balancers", 1, MOST_NODES), root.fault("me", 0, MOST_NODES)));
         for (SettingsReader c : root.children("classes")) {
             fault = first(fault, first(c.fault("lateWorth", 0, 1), c.fault("aimMs", 0, Double.MAX_VALUE)));
         }
--- a/src/test/java/ottergauge/program/MigrateCommandTest.java
+++ b/src/test/java/ottergauge/program/MigrateCommandTest.java
@@ -94,6 +94,8 @@
             {"{", SHAPE, "old.json"}, {whole(), "[]", "shape.json"}, {whole(), "{} {}", "shape.json"},
             {"{}", SHAPE, "settings"}, {whole(), SHAPE.replace("\"roundMs\":5", "\"roundMs\":-5"), "roundMs"},
             {whole().replace("127.0.0.1:3000", "nowhere"), SHAPE, "nowhere"},
+            {whole(), SHAPE.replace("\"balancers\":98", "\"balancers\":\"98\""), "balancers"},
+            {whole(), SHAPE.replace("\"balancers\":98", "\"balancers\":0,\"me\":-1"), "balancers"},
         };
         for (String[] each : bad) {
             err.getBuffer().setLength(0);
