--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -17,7 +17,7 @@
  * An instant and an event go in, actions come out; the same in, the same out. The ordinary path is
  * Per-Function Auto Weighted Round-Robin; docs/design.md lists the departures and says when each acts.
  */
-public final class Decide {
+public final class Decide implements Insight {
 
     // ---- The design's starting values --------------------------------------------------------------
     private static final long WINDOW = 5_000_000;
@@ -318,6 +318,13 @@
         setTimer();
     }
 
+    @Override
+    public Standing standing(long at, long server) {
+        Server s = byId.get(server);
+        return s == null || s.state != ServerState.UP ? Standing.DRAINING
+            : at < s.barredUntil ? Standing.BARRED : mute(s) ? Standing.MUTE : Standing.USED;
+    }
+
     // ==== Requests: one final answer each ============================================================
 
     private void arrive(RequestArrived e) {
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -101,6 +101,16 @@
 
     public record TimerFired(String token) implements Event { }
 
+    // ---- Questions ------------------------------------------------------------------------------
+
+    /** How the module treats a server: it sends nothing to one that drains, is barred or is mute. */
+    public enum Standing { USED, DRAINING, BARRED, MUTE }
+
+    /** What may be asked of the module at any time; asking changes nothing. */
+    public interface Insight {
+        Standing standing(long at, long server);
+    }
+
     // ---- Actions --------------------------------------------------------------------------------
 
     /** Something the node is to do. */
--- a/src/main/java/ottergauge/program/RehearseCommand.java
+++ b/src/main/java/ottergauge/program/RehearseCommand.java
@@ -6,9 +6,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import ottergauge.protocol.NodeConfig;
 import ottergauge.protocol.ProtocolException;
 import ottergauge.transport.NodeServer;
@@ -26,7 +30,8 @@
     private static final int READ_WITHIN_MS = 10_000;
     private static final int ASKED = 5;
     private static final String CONFIG = """
-        {"name":"rehearsal","listen":"127.0.0.1:%1$d","discovery":"127.0.0.1:%1$d","seed":"1",
+        {"name":"rehearsal","listen":"127.0.0.1:%1$d","management":"127.0.0.1:%2$d",
+         "discovery":"127.0.0.1:%1$d","seed":"1",
          "limits":{"sockets":128},
          "known":{"seq":1,"whole":true,"hosts":[
           {"host":"itself","dial":"127.0.0.1:%1$d","health":"in_service"}]},
@@ -39,12 +44,26 @@
     @Override
     public Integer call() throws IOException, ProtocolException {
         int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        int door;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+             ServerSocket other = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
+            door = other.getLocalPort();
         }
-        NodeConfig config = NodeConfig.read(CONFIG.formatted(port).getBytes(StandardCharsets.UTF_8));
+        Path folder = Files.createTempDirectory("rehearsal");
+        try {
+            return rehearse(port, door, folder);
+        } finally {
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+            }
+        }
+    }
+
+    private Integer rehearse(int port, int door, Path folder) throws IOException, ProtocolException {
+        NodeConfig config = NodeConfig.read(CONFIG.formatted(port, door).getBytes(StandardCharsets.UTF_8));
         Rehearsal.run(config);
-        NodeServer node = new NodeServer(config);
+        NodeServer node = new NodeServer(config, folder);
         try {
             node.start().toCompletionStage().toCompletableFuture().orTimeout(READ_WITHIN_MS,
                 TimeUnit.MILLISECONDS).join();
@@ -55,6 +74,10 @@
                 ask(port, "POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: " + i + "\r\nX-Qos: unsafe\r\n"
                     + "Content-Length: 1\r\nConnection: close\r\n\r\nx");
                 ask(port, "no request\r\n\r\n");
+                ask(door, "GET /stats HTTP/1.1\r\nHost: x\r\n\r\n");
+                ask(door, "POST /servers/itself/maint HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+                ask(door, "POST /servers/itself/ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+                ask(door, "no call\r\n\r\n");
             }
             node.reconfigure(config);
             node.stop().toCompletionStage().toCompletableFuture().orTimeout(READ_WITHIN_MS,
--- a/src/main/java/ottergauge/program/ServeCommand.java
+++ b/src/main/java/ottergauge/program/ServeCommand.java
@@ -2,8 +2,10 @@
 package ottergauge.program;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.UUID;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.slf4j.Logger;
@@ -44,7 +46,7 @@
             return 1;
         }
         rehearse(config);
-        NodeServer node = new NodeServer(config);
+        NodeServer node = new NodeServer(config, shared(config));
         // Unhandled, the signal would end the virtual machine.
         Signal.handle(new Signal("HUP"), hangUp -> reload(node));
         CountDownLatch failed = new CountDownLatch(1);
@@ -67,7 +69,15 @@
     }
 
     private NodeConfig read() throws IOException, ProtocolException {
-        return NodeConfig.read(Files.readAllBytes(configFile));
+        return NodeConfig.read(Files.readAllBytes(configFile))
+            .managedAt(System.getenv("BALANCER_MANAGEMENT"));
+    }
+
+    // Kept from one process of a node to the next, and apart from those of other nodes beside it.
+    private static Path shared(NodeConfig config) {
+        String folder = System.getenv("TMPDIR");
+        return folder == null || folder.isEmpty() ? null : Path.of(folder,
+            "ottergauge-" + UUID.nameUUIDFromBytes(config.name().getBytes(StandardCharsets.UTF_8)));
     }
 
     // A bad file must not cost a node that serves: the configuration in force stays.
--- a/src/main/java/ottergauge/protocol/HostList.java
+++ b/src/main/java/ottergauge/protocol/HostList.java
@@ -2,9 +2,12 @@
 package ottergauge.protocol;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -58,6 +61,46 @@
             (long) number(fields, "born_ms", 0));
     }
 
+    /** The list in discovery's form. */
+    public byte[] json() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator out = JSON.createGenerator(bytes)) {
+            out.writeStartObject();
+            out.writeNumberField("seq", seq);
+            out.writeBooleanField("whole", whole);
+            out.writeArrayFieldStart("hosts");
+            for (Host host : hosts) {
+                write(out, host);
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void write(JsonGenerator out, Host host) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("host", host.name());
+        out.writeStringField("dial", host.dial().toString());
+        if (host.site() != null) {
+            out.writeStringField("site", host.site());
+        }
+        if (host.kind() != null) {
+            out.writeStringField("class", host.kind());
+        }
+        out.writeNumberField("block", host.block());
+        out.writeStringField("health", switch (host.state()) {
+            case UP -> "in_service";
+            case DRAINING -> "terminating";
+            case GONE -> "terminated";
+        });
+        out.writeNumberField("share", host.share());
+        out.writeNumberField("born_ms", host.bornMs());
+        out.writeEndObject();
+    }
+
     private static ServerState state(String health) throws ProtocolException {
         return switch (String.valueOf(health)) {
             case "in_service" -> ServerState.UP;
--- a/src/main/java/ottergauge/protocol/NodeConfig.java
+++ b/src/main/java/ottergauge/protocol/NodeConfig.java
@@ -13,11 +13,12 @@
 import ottergauge.settings.SettingsReader;
 
 /**
- * What a node is told at its start. Spans are microseconds; {@code sockets} bounds its descriptors.
+ * What a node is told at its start. Spans are microseconds; {@code sockets} bounds its descriptors;
+ * {@code management} is the operators' address, null without one.
  */
 public record NodeConfig(String name, Address listen, Address discovery, long seed, int sockets,
                          HostList known, Settings settings, List<String> zones, List<String> kinds,
-                         long connectTimeout, long connectionIdle, long askWithin) {
+                         long connectTimeout, long connectionIdle, long askWithin, Address management) {
 
     private static final int HEXADECIMAL = 16;
 
@@ -58,7 +59,21 @@
             (int) root.child("limits").number("sockets", 1024), known, read,
             SettingsReader.names(settings, "zones"), SettingsReader.names(settings, "kinds"),
             limits.micros("connectTimeoutMs", 1000), limits.micros("connIdleMs", 15_000),
-            new SettingsReader(settings).child("rules").micros("mustAskInMs", 10_000));
+            new SettingsReader(settings).child("rules").micros("mustAskInMs", 10_000),
+            tree.get("management") == null ? null : Address.parse(root.text("management", null)));
+    }
+
+    /** The same with an operators' address, if it has none yet and there is one. */
+    public NodeConfig managedAt(String address) throws ProtocolException {
+        return management != null || address == null || address.isEmpty() ? this
+            : new NodeConfig(name, listen, discovery, seed, sockets, known, settings, zones, kinds,
+                connectTimeout, connectionIdle, askWithin, Address.parse(address));
+    }
+
+    /** The same with a list that is newer. */
+    public NodeConfig knowing(HostList list) {
+        return new NodeConfig(name, listen, discovery, seed, sockets, list, settings, zones, kinds,
+            connectTimeout, connectionIdle, askWithin, management);
     }
 
     private static long seed(String hex) throws ProtocolException {
--- a/src/main/java/ottergauge/routing/Effect.java
+++ b/src/main/java/ottergauge/routing/Effect.java
@@ -3,6 +3,7 @@
 
 import ottergauge.protocol.Address;
 import ottergauge.protocol.Content;
+import ottergauge.protocol.HostList;
 import ottergauge.routing.Event.ClientRequest;
 
 /** Something the transport is to do. Spans are microseconds. */
@@ -38,6 +39,20 @@
 
     record StartTimer(long delay, Timer timer) implements Effect { }
 
+    /** The answer to an operator's call; the connection ends with it. */
+    record TellOperator(long caller, int status, String text) implements Effect { }
+
+    /** Keeps for the node's next process, and one beside this, that a server is held out. */
+    record KeepHeld(String server, long since) implements Effect { }
+
+    record DropHeld(String server) implements Effect { }
+
+    /** Keeps the list of servers for the node's next process. */
+    record KeepList(HostList list) implements Effect { }
+
+    /** Takes what has connected by now and nothing more: another process of this node does. */
+    record StopAccepting() implements Effect { }
+
     /** All is answered: the program may end. */
     record Exit() implements Effect { }
 }
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.routing;
 
+import java.util.Map;
 import ottergauge.DecisionApi.LoadReport;
 import ottergauge.protocol.Content;
 import ottergauge.protocol.HostList;
@@ -55,8 +56,17 @@
     /** The node has been given a new configuration. */
     record Reconfigured(NodeConfig config) implements Event { }
 
+    /** An operator's call at the door. */
+    record OperatorAsked(long caller, OperatorCall call) implements Event { }
+
+    /** The servers held out by this node, by name and since when, as its processes keep them. */
+    record HeldRead(Map<String, Long> since) implements Event { }
+
     record TimerFired(Timer timer) implements Event { }
 
-    /** The node has been told to stop. */
-    record StopAsked() implements Event { }
+    /** Whether another process of this node lives beside this one. */
+    record CompanySeen(boolean accompanied) implements Event { }
+
+    /** The node has been told to stop; {@code succeeded}: another process of it takes its clients. */
+    record StopAsked(boolean succeeded) implements Event { }
 }
--- a/src/main/java/ottergauge/routing/Exchange.java
+++ b/src/main/java/ottergauge/routing/Exchange.java
@@ -9,15 +9,17 @@
 final class Exchange {
     final String id;
     final long client;
+    final int requestClass;
     final ClientRequest request;
     final long giveUpAt;
     final List<Job> out = new ArrayList<>(1);
     int attempts;
     boolean over;
 
-    Exchange(String id, long client, ClientRequest request, long giveUpAt) {
+    Exchange(String id, long client, int requestClass, ClientRequest request, long giveUpAt) {
         this.id = id;
         this.client = client;
+        this.requestClass = requestClass;
         this.request = request;
         this.giveUpAt = giveUpAt;
     }
--- /dev/null
+++ b/src/main/java/ottergauge/routing/Operators.java
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import ottergauge.DecisionApi.Standing;
+import ottergauge.protocol.HostList;
+import ottergauge.routing.Effect.DropHeld;
+import ottergauge.routing.Effect.KeepHeld;
+import ottergauge.routing.Effect.TellOperator;
+
+/** What operators ask and change: figures, how servers stand, and which of them are held out. */
+final class Operators {
+
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int UNAVAILABLE = 503;
+
+    private final Figures figures;
+    private final Roster roster;
+    private final Function<String, Standing> standings;
+    private final Consumer<HostList> changed;
+    private final Consumer<Effect> effects;
+
+    /** {@code changed} takes what a hand changes of the list; what follows from it happens at once. */
+    Operators(Figures figures, Roster roster, Function<String, Standing> standings,
+              Consumer<HostList> changed, Consumer<Effect> effects) {
+        this.figures = figures;
+        this.roster = roster;
+        this.standings = standings;
+        this.changed = changed;
+        this.effects = effects;
+    }
+
+    void asked(long now, boolean stopping, long caller, OperatorCall call) {
+        if (call instanceof OperatorCall.Health) {
+            tell(caller, stopping ? UNAVAILABLE : OK, stopping ? "stopping\n" : "serving\n");
+        } else if (call instanceof OperatorCall.Stats) {
+            int unavailable = (int) roster.names().stream()
+                .filter(name -> standings.apply(name) != Standing.USED).count();
+            tell(caller, OK, figures.text(roster.names().size(), unavailable));
+        } else if (call instanceof OperatorCall.Servers) {
+            tell(caller, OK, servers());
+        } else if (call instanceof OperatorCall.Maint maint) {
+            takeOut(now, caller, maint.server());
+        } else if (call instanceof OperatorCall.Ready ready) {
+            putBack(now, caller, ready.server());
+        }
+    }
+
+    private String servers() {
+        StringBuilder text = new StringBuilder();
+        roster.names().forEach(name -> text.append(name).append(' ').append(roster.holds(name) ? "held"
+            : standings.apply(name).name().toLowerCase(Locale.ROOT)).append('\n'));
+        roster.heldBeside(roster.names()).forEach(name -> text.append(name).append(" held, unlisted\n"));
+        return text.toString();
+    }
+
+    // What a call brings comes before the yes: from then on nothing new may begin at a server that is out.
+    private void takeOut(long now, long caller, String server) {
+        if (!roster.knows(server)) {
+            tell(caller, NOT_FOUND, "unknown server\n");
+            return;
+        }
+        changed.accept(roster.hold(server, now));
+        if (roster.holds(server)) {
+            effects.accept(new KeepHeld(server, roster.heldSince(server)));
+            tell(caller, OK, "held\n");
+        } else {
+            tell(caller, CONFLICT, "too many servers are held out\n");
+        }
+    }
+
+    private void putBack(long now, long caller, String server) {
+        if (!roster.knows(server)) {
+            tell(caller, NOT_FOUND, "unknown server\n");
+            return;
+        }
+        effects.accept(new DropHeld(server));
+        changed.accept(roster.release(now, server));
+        tell(caller, OK, "back\n");
+    }
+
+    /** Another process of this node may have been the one that was told. */
+    void heldRead(long now, Map<String, Long> since) {
+        since.forEach((name, at) -> changed.accept(roster.hold(name, at)));
+        roster.heldBeside(since.keySet()).forEach(name -> changed.accept(roster.release(now, name)));
+    }
+
+    private void tell(long caller, int status, String text) {
+        effects.accept(new TellOperator(caller, status, text));
+    }
+}
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -19,12 +19,15 @@
 import ottergauge.DecisionApi.RequestClass;
 import ottergauge.DecisionApi.Result;
 import ottergauge.protocol.Content;
+import ottergauge.protocol.HostList;
 import ottergauge.protocol.NodeConfig;
 import ottergauge.protocol.Outcomes;
 import ottergauge.protocol.RequestFields;
 import ottergauge.routing.Effect.AcceptUpTo;
 import ottergauge.routing.Effect.Exit;
+import ottergauge.routing.Effect.KeepList;
 import ottergauge.routing.Effect.StartTimer;
+import ottergauge.routing.Effect.StopAccepting;
 import ottergauge.routing.Event.AnswerRead;
 import ottergauge.routing.Event.ClientRequest;
 import ottergauge.routing.Event.RequestRead;
@@ -45,6 +48,8 @@
     // Descriptors that are no connections of clients or servers: the program's own files, standard streams,
     // selector, listener and discovery, and what the operating system has not yet finished closing.
     private static final int RESERVE = 64;
+    // The operators' door: its listener, its calls and the files that it keeps.
+    private static final int DOOR_RESERVE = 32;
     // Connections that the listener takes at once before it looks whether it may take more.
     private static final int ACCEPTED_AT_ONCE = 16;
     // Clients have this part of the sockets at most, so that there are always some for what they ask.
@@ -53,6 +58,11 @@
     private static final long SWEEP_EVERY = 250_000;
     // New connections go on coming for up to 0.4 s after the node is told to stop; 0.1 s for late ones.
     private static final long FRONT_QUIET = 500_000;
+    // A process that another one succeeds is killed 0.7 s after the longest deadline: by then all is
+    // answered, with some time to spare for its end.
+    private static final long ANSWERED_AFTER = 500_000;
+    // What is asked in its last moments has at least so long.
+    private static final long LAST_REQUEST = 400_000;
 
     private final NodeConfig config;
     private final Decide decide;
@@ -60,12 +70,17 @@
     private final Clients clients;
     private final Upstreams upstreams;
     private final Watch watch;
+    private final Roster roster;
+    private final Figures figures;
+    private final Operators operators;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final Map<String, Exchange> byTraceId = new HashMap<>();
     private final Map<Long, Job> jobs = new HashMap<>();
     private final Deque<DecisionApi.Event> learnt = new ArrayDeque<>();
     private final Deque<DecisionApi.Action> decided = new ArrayDeque<>();
+    private int descriptors;
+    private boolean accompanied;
     private int sockets;
     private long now;
     private long lastExchange;
@@ -73,6 +88,8 @@
     private boolean stopping;
     private boolean frontQuiet;
     private boolean exiting;
+    /** When the last answer must be out. */
+    private long lastAnswer = Long.MAX_VALUE;
 
     public Router(NodeConfig config, Consumer<Effect> effects) {
         this.config = config;
@@ -84,13 +101,18 @@
         clients = new Clients(effects);
         upstreams = new Upstreams(config.connectTimeout(), config.connectionIdle(), effects);
         watch = new Watch(config, effects);
+        roster = new Roster(config.settings().rules().coldFor());
+        figures = new Figures(config.settings().classes());
+        operators = new Operators(figures, roster, name -> decide.standing(now, ServerIds.of(name)),
+            this::follow, effects);
     }
 
     /** Begins with the list that the node had last. */
     public void start(long at) {
         now = at;
-        upstreams.follow(config.known());
-        learnt.add(watch.lastKnown());
+        HostList known = roster.follow(now, config.known());
+        upstreams.follow(known);
+        learnt.add(watch.lastKnown(known));
         effects.accept(new StartTimer(SWEEP_EVERY, new Timer.Sweep()));
         limitSockets(config.sockets());
         decideAll();
@@ -107,7 +129,9 @@
         } else if (event instanceof Event.RequestBegan e) {
             clients.began(now, e.client());
         } else if (event instanceof Event.RequestWritten e) {
-            upstreams.written(e.connection());
+            if (upstreams.written(e.connection())) {
+                figures.attempted();
+            }
         } else if (event instanceof Event.AnswerWritten e) {
             clients.answerWritten(now, e.client());
         } else if (event instanceof Event.TimerFired e) {
@@ -118,6 +142,7 @@
         } else if (event instanceof Event.ClientClosed e) {
             Exchange exchange = clients.closed(e.client());
             if (exchange != null) {
+                figures.abandoned();
                 over(exchange);
                 learnt.add(new ClientGone(exchange.id));
             }
@@ -143,12 +168,20 @@
             Exchange exchange = clients.withdraw(e.client());
             if (exchange != null) {
                 // More came behind a request that is open: which answer is whose is not known any more.
+                figures.failed(exchange.requestClass);
                 over(exchange);
                 learnt.add(new ClientGone(exchange.id));
             }
             clients.reject(now, e.client(), e.status(), e.why());
-        } else if (event instanceof Event.StopAsked) {
-            stop();
+        } else if (event instanceof Event.OperatorAsked e) {
+            operators.asked(now, stopping, e.caller(), e.call());
+        } else if (event instanceof Event.HeldRead e) {
+            operators.heldRead(now, e.since());
+        } else if (event instanceof Event.CompanySeen e) {
+            accompanied = e.accompanied();
+            limitSockets(descriptors);
+        } else if (event instanceof Event.StopAsked e) {
+            stop(e.succeeded());
         }
         decideAll();
         exitIfDone();
@@ -177,11 +210,13 @@
             wait = config.settings().classes().get(requestClass).deadline();
         }
         // The client's time runs from when it sent the request, which is nearer to the first byte.
-        long giveUpAt = clients.beganAt(e.client(), now) + wait;
-        Exchange exchange = new Exchange(Long.toString(++lastExchange), e.client(), e.request(), giveUpAt);
+        long giveUpAt = Math.min(lastAnswer, clients.beganAt(e.client(), now) + wait);
+        Exchange exchange = new Exchange(Long.toString(++lastExchange), e.client(), requestClass, e.request(),
+            giveUpAt);
         exchanges.put(exchange.id, exchange);
         byTraceId.put(fields.traceId(), exchange);
         clients.took(e.client(), exchange);
+        figures.taken();
         learnt.add(new RequestArrived(exchange.id, requestClass, giveUpAt,
             e.request().fields().secondTry(), key(e.request())));
     }
@@ -204,6 +239,11 @@
     private void answer(String id, int status, long retryAfter, Content content) {
         Exchange exchange = exchanges.get(id);
         if (exchange != null && !exchange.over) {
+            switch (status) {
+                case OK -> figures.completed(exchange.requestClass);
+                case UNAVAILABLE -> figures.rejected(exchange.requestClass);
+                default -> figures.failed(exchange.requestClass);
+            }
             over(exchange);
             clients.respond(now, exchange.client, status, retryAfter, content, false);
         }
@@ -310,8 +350,11 @@
 
     // ---- Sockets ------------------------------------------------------------------------------------
 
-    private void limitSockets(int descriptors) {
-        sockets = Math.max(1, descriptors - RESERVE);
+    // Two processes of a node have its descriptors together, and may both need their part at once.
+    private void limitSockets(int most) {
+        descriptors = most;
+        sockets = Math.max(1, (accompanied ? most / 2 : most) - RESERVE
+            - (config.management() == null ? 0 : DOOR_RESERVE));
         effects.accept(new AcceptUpTo(mostClients() + ACCEPTED_AT_ONCE));
     }
 
@@ -345,12 +388,34 @@
         if (!watch.awaits(e.call())) {
             return;
         }
-        List<Job> withdrawn = upstreams.follow(e.list());
+        HostList list = roster.follow(now, e.list());
+        List<Job> withdrawn = upstreams.follow(list);
         // The list first: told only of a withdrawn attempt, the module would send it to the same server.
-        watch.read(now, e.list()).ifPresent(learnt::add);
+        watch.read(now, list).ifPresent(news -> {
+            learnt.add(news);
+            keepList();
+        });
         withdrawn.forEach(job -> ended(job, Result.NOT_SENT));
     }
 
+    // Only a node with a door has processes that follow each other.
+    private void keepList() {
+        if (config.management() != null) {
+            effects.accept(new KeepList(roster.whole()));
+        }
+    }
+
+    // A hand changes the list as discovery does, and what follows from it happens at once.
+    private void follow(HostList changes) {
+        if (!changes.hosts().isEmpty()) {
+            List<Job> withdrawn = upstreams.follow(changes);
+            learnt.add(watch.changed(changes));
+            withdrawn.forEach(job -> ended(job, Result.NOT_SENT));
+            decideAll();
+            keepList();
+        }
+    }
+
     // ---- Time and the end ---------------------------------------------------------------------------
 
     private void timerFired(Timer timer) {
@@ -374,11 +439,22 @@
         }
     }
 
-    private void stop() {
+    private void stop(boolean succeeded) {
         if (!stopping) {
             stopping = true;
             clients.stop();
-            effects.accept(new StartTimer(FRONT_QUIET, new Timer.FrontQuiet()));
+            if (succeeded) {
+                // No connection comes any more. Those that are open end with their next answer: closed while
+                // they are idle, some would be closed in the face of a request.
+                effects.accept(new StopAccepting());
+                long longest = config.settings().classes().stream().mapToLong(RequestClass::deadline).max()
+                    .orElse(0);
+                lastAnswer = now + longest + ANSWERED_AFTER;
+                effects.accept(new StartTimer(longest + ANSWERED_AFTER - LAST_REQUEST,
+                    new Timer.FrontQuiet()));
+            } else {
+                effects.accept(new StartTimer(FRONT_QUIET, new Timer.FrontQuiet()));
+            }
         }
     }
 
--- a/src/main/java/ottergauge/routing/Upstream.java
+++ b/src/main/java/ottergauge/routing/Upstream.java
@@ -10,6 +10,8 @@
     final long server;
     Address dial;
     boolean listed = true;
+    /** Whether anything new may be sent; what drains keeps no connections for later. */
+    boolean usable = true;
     /** Most recently used first, so that those in excess grow old. */
     final Deque<ServerConnection> idle = new ArrayDeque<>();
     final Deque<Job> waiting = new ArrayDeque<>();
--- a/src/main/java/ottergauge/routing/Upstreams.java
+++ b/src/main/java/ottergauge/routing/Upstreams.java
@@ -78,12 +78,15 @@
 
     private void update(long server, Address dial, boolean usable, List<Job> withdrawn) {
         Upstream upstream = byServer.computeIfAbsent(server, id -> new Upstream(id, dial));
+        upstream.usable = usable;
         if (!usable || !upstream.dial.equals(dial)) {
             withdraw(upstream, withdrawn);
         }
         if (!upstream.dial.equals(dial)) {
             upstream.listed = false;
-            byServer.put(server, new Upstream(server, dial));
+            Upstream moved = new Upstream(server, dial);
+            moved.usable = usable;
+            byServer.put(server, moved);
         }
     }
 
@@ -161,11 +164,14 @@
             : Optional.empty();
     }
 
-    void written(long number) {
+    /** Whether what is written now is an attempt of a request. */
+    boolean written(long number) {
         ServerConnection connection = connections.get(number);
-        if (connection != null && connection.job != null) {
-            connection.job.written = true;
+        if (connection == null || connection.job == null) {
+            return false;
         }
+        connection.job.written = true;
+        return !connection.job.isProbe();
     }
 
     /** Frees a connection whose answer has come and gives back the job that it carried. */
@@ -200,7 +206,7 @@
         Job next = upstream.waiting.poll();
         if (next != null) {
             carry(now, connection, next);
-        } else if (upstream.listed) {
+        } else if (upstream.listed && upstream.usable) {
             connection.idleSince = now;
             upstream.idle.addFirst(connection);
             idle.add(connection);
--- a/src/main/java/ottergauge/routing/Watch.java
+++ b/src/main/java/ottergauge/routing/Watch.java
@@ -101,8 +101,13 @@
         return out && call == lastCall;
     }
 
-    DecisionApi.Event lastKnown() {
-        return listed(config.known(), ListScope.LAST_KNOWN);
+    DecisionApi.Event lastKnown(HostList known) {
+        return listed(known, ListScope.LAST_KNOWN);
+    }
+
+    /** What changed for other reasons than discovery's. */
+    DecisionApi.Event changed(HostList list) {
+        return listed(list, ListScope.CHANGES);
     }
 
     private ServerList listed(HostList list, ListScope scope) {
--- a/src/main/java/ottergauge/transport/AcceptGate.java
+++ b/src/main/java/ottergauge/transport/AcceptGate.java
@@ -2,16 +2,15 @@
 package ottergauge.transport;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandler.Sharable;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 
 /** Accepts no connection past a number: the rest waits in the system's queue and takes no descriptor. */
-@Sharable
 final class AcceptGate extends ChannelInboundHandlerAdapter {
 
     private int most = Integer.MAX_VALUE;
     private int open;
+    private long accepted;
     private Channel listener;
 
     void most(int connections) {
@@ -19,6 +18,15 @@
         update();
     }
 
+    boolean full() {
+        return open >= most;
+    }
+
+    /** How many connections have been accepted so far. */
+    long accepted() {
+        return accepted;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         listener = ctx.channel();
@@ -27,14 +35,15 @@
     }
 
     @Override
-    public void channelRead(ChannelHandlerContext ctx, Object accepted) {
+    public void channelRead(ChannelHandlerContext ctx, Object connection) {
         open++;
-        ((Channel) accepted).closeFuture().addListener(closed -> {
+        accepted++;
+        ((Channel) connection).closeFuture().addListener(closed -> {
             open--;
             update();
         });
         update();
-        ctx.fireChannelRead(accepted);
+        ctx.fireChannelRead(connection);
     }
 
     private void update() {
--- a/src/main/java/ottergauge/transport/ClientSide.java
+++ b/src/main/java/ottergauge/transport/ClientSide.java
@@ -2,12 +2,9 @@
 package ottergauge.transport;
 
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.vertx.core.Future;
-import io.vertx.core.Vertx;
-import io.vertx.core.internal.net.NetSocketInternal;
-import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetServerOptions;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -36,11 +33,8 @@
         this.events = events;
     }
 
-    Future<NetServer> listen(Vertx vertx, Address address) {
-        return vertx.createNetServer(new NetServerOptions().setAcceptBacklog(BACKLOG))
-            .connectHandler(socket ->
-                adopt(((NetSocketInternal) socket).channelHandlerContext().pipeline()))
-            .listen(address.port(), address.host());
+    Future<Listener> listen(EventLoop loop, Address address, boolean shared, AcceptGate gate) {
+        return Listener.open(loop, address, BACKLOG, shared, gate, this::adopt);
     }
 
     /** Takes a new connection. */
--- /dev/null
+++ b/src/main/java/ottergauge/transport/ListStore.java
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.transport;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.NodeConfig;
+import ottergauge.protocol.ProtocolException;
+
+/** The list of servers as a process of this node had it last, for the one that comes after. */
+final class ListStore {
+
+    private static final Logger LOG = LoggerFactory.getLogger(ListStore.class);
+    // As large as a list that discovery may send.
+    private static final int MOST_BYTES = 1 << 20;
+
+    private final Path file;
+    private final Path part;
+
+    ListStore(Path folder) {
+        file = folder.resolve("list.json");
+        part = folder.resolve("list-" + ProcessHandle.current().pid());
+    }
+
+    void keep(HostList list) {
+        try {
+            Files.write(part, list.json());
+            Files.move(part, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            LOG.warn("the list is not kept: {}", e.toString());
+        }
+    }
+
+    /** The configuration with the list that was kept, if that is the newer one. */
+    NodeConfig freshest(NodeConfig config, boolean accompanied) {
+        try {
+            if (Files.exists(file) && Files.size(file) <= MOST_BYTES) {
+                HostList kept = HostList.read(Files.readAllBytes(file));
+                // Beside a process that lives it is up to date; left by one that has gone it may be older.
+                if (accompanied || kept.seq() > config.known().seq()) {
+                    return config.knowing(kept);
+                }
+            }
+        } catch (IOException | ProtocolException e) {
+            LOG.warn("the list that was kept is no list: {}", e.toString());
+        }
+        return config;
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/transport/Listener.java
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.transport;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.util.function.Consumer;
+import ottergauge.protocol.Address;
+
+/**
+ * An address that the node listens on, with a gate of its own. It is Netty's and not Vert.x's: a server of
+ * Vert.x closes all of its connections when it closes, and an old process has to end the one before the rest.
+ */
+final class Listener {
+
+    private final Channel channel;
+    private final AcceptGate gate;
+
+    private Listener(Channel channel, AcceptGate gate) {
+        this.channel = channel;
+        this.gate = gate;
+    }
+
+    /** Listens; {@code shared} lets a second process of this node listen on the same address. */
+    static Future<Listener> open(EventLoop loop, Address address, int backlog, boolean shared,
+                                 AcceptGate gate, Consumer<ChannelPipeline> adopt) {
+        ServerBootstrap bootstrap = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, backlog).option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true).handler(gate)
+            .childHandler(new ChannelInitializer<>() {
+                @Override
+                protected void initChannel(Channel accepted) {
+                    adopt.accept(accepted.pipeline());
+                }
+            });
+        if (shared) {
+            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
+        Promise<Listener> opened = Promise.promise();
+        bootstrap.bind(new InetSocketAddress(address.host(), address.port())).addListener(bound -> {
+            if (bound.isSuccess()) {
+                opened.complete(new Listener(((ChannelFuture) bound).channel(), gate));
+            } else {
+                opened.fail(bound.cause());
+            }
+        });
+        return opened.future();
+    }
+
+    /** Takes what waits in the queue, which a close would reset, and closes: on the loop only. */
+    void drainAndClose() {
+        if (!channel.isOpen()) {
+            return;
+        }
+        gate.most(Integer.MAX_VALUE);
+        long before;
+        do {
+            before = gate.accepted();
+            ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+        } while (gate.accepted() > before);
+        channel.close();
+    }
+}
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -1,14 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.transport;
 
-import io.vertx.core.Context;
+import io.netty.channel.EventLoop;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.internal.ContextInternal;
 import io.vertx.core.internal.VertxBootstrap;
 import io.vertx.core.net.NetClient;
+import java.io.IOException;
+import java.nio.file.Path;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import ottergauge.protocol.Headers;
@@ -22,54 +25,111 @@
 public final class NodeServer {
 
     private static final Logger LOG = LoggerFactory.getLogger(NodeServer.class);
+    // What another process of this node was told is followed so soon: well within what a drain allows.
+    private static final long LOOK_EVERY_MS = 100;
 
     private final NodeConfig config;
     private final Clock clock = new Clock();
     private final AcceptGate gate = new AcceptGate();
     private final Vertx vertx;
-    private final Context context;
+    private final ContextInternal context;
     private final Router router;
     private final ClientSide clients;
     private final ServerSide servers;
     private final DiscoverySide discovery;
+    private final Door door;
+    private final SharedFolder shared;
     private final EventQueue events = new EventQueue(this::handle);
     private final Promise<Void> ended = Promise.promise();
+    private Listener listener;
+    private boolean accompanied;
 
-    public NodeServer(NodeConfig config) {
-        this.config = config;
+    /** A node; without a folder that its processes share, it has one process at a time. */
+    public NodeServer(NodeConfig told, Path folder) {
+        shared = told.management() == null || folder == null ? null : open(folder);
+        config = shared == null ? told : shared.freshest(told);
         // Addresses are numbers: nothing is asked of DNS.
         System.setProperty("vertx.disableDnsResolver", "true");
         // One loop owns all; the pools for blocking work have nothing to do. No files: they count as memory.
         VertxOptions options = new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
             .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                 .setClassPathResolvingEnabled(false).setFileCachingEnabled(false));
-        vertx = VertxBootstrap.create().options(options).transport(new OneLoopTransport(gate)).init().vertx();
-        context = vertx.getOrCreateContext();
+        vertx = VertxBootstrap.create().options(options).transport(new OneLoopTransport()).init().vertx();
+        context = (ContextInternal) vertx.getOrCreateContext();
         router = new Router(config, this::carryOut);
         clients = new ClientSide(events::take);
         NetClient client = vertx.createNetClient();
         servers = new ServerSide((address, timeoutMs) ->
             Outbound.connect(client, "server", address, timeoutMs, Headers.MOST_BODY), events::take);
         discovery = new DiscoverySide(vertx, client, events::take);
+        door = new Door(context.nettyEventLoop(), events::take);
     }
 
-    /** Starts to serve; the future says whether the address could be had. */
+    // Without it a node serves all the same: an upgrade then ends like a restart.
+    private static SharedFolder open(Path folder) {
+        try {
+            return new SharedFolder(folder);
+        } catch (IOException e) {
+            LOG.error("{} cannot be shared with a next process: {}", folder.getFileName(), e.toString());
+            return null;
+        }
+    }
+
+    /** Starts to serve; the future says whether its addresses could be had. */
     public Future<Void> start() {
         Promise<Void> started = Promise.promise();
         context.runOnContext(run -> {
             router.start(clock.micros());
-            clients.listen(vertx, config.listen())
-                .onSuccess(listening -> LOG.info("{} listens on {}", config.name(), config.listen()))
+            look();
+            EventLoop loop = context.nettyEventLoop();
+            clients.listen(loop, config.listen(), config.management() != null, gate)
+                .compose(listening -> {
+                    listener = listening;
+                    LOG.info("{} listens on {}", config.name(), config.listen());
+                    return config.management() == null ? Future.<Listener>succeededFuture()
+                        : door.listen(config.management());
+                })
+                .onSuccess(listening -> serves())
                 .<Void>mapEmpty().onComplete(started);
         });
         return started.future();
     }
 
+    private void serves() {
+        if (config.management() != null) {
+            LOG.info("{} answers operators on {}", config.name(), config.management());
+        }
+        try {
+            if (shared != null) {
+                shared.siblings().serves();
+            }
+        } catch (IOException e) {
+            LOG.error("another process of this node will not know that this one serves: {}", e.toString());
+        }
+    }
+
+    // What the node's other process was told, and whether there is one.
+    private void look() {
+        if (shared == null) {
+            return;
+        }
+        events.take(new Event.HeldRead(shared.held().read()));
+        boolean now = shared.siblings().accompanied();
+        if (now != accompanied) {
+            accompanied = now;
+            LOG.info("{} {}", config.name(), now ? "runs beside another process" : "runs alone again");
+            events.take(new Event.CompanySeen(now));
+        }
+        vertx.setTimer(LOOK_EVERY_MS, due -> look());
+    }
+
     /** Begins to stop: what has been taken is still answered. The future completes when all is. */
     public Future<Void> stop() {
         context.runOnContext(run -> {
-            LOG.info("{} was told to stop", config.name());
-            events.take(new Event.StopAsked());
+            boolean succeeded = shared != null && shared.siblings().succeeded();
+            LOG.info("{} was told to stop{}", config.name(),
+                succeeded ? ", another process takes its clients" : "");
+            events.take(new Event.StopAsked(succeeded));
         });
         return ended.future();
     }
@@ -79,8 +139,9 @@
         context.runOnContext(run -> {
             LOG.info("{} goes on with discovery at {} and {} descriptors", config.name(), next.discovery(),
                 next.sockets());
-            if (!next.settings().equals(config.settings()) || !next.listen().equals(config.listen())) {
-                LOG.warn("the new configuration's address and settings count from the next start on");
+            if (!next.settings().equals(config.settings()) || !next.listen().equals(config.listen())
+                || !java.util.Objects.equals(next.management(), config.management())) {
+                LOG.warn("the new configuration's addresses and settings count from the next start on");
             }
             events.take(new Event.Reconfigured(next));
         });
@@ -131,8 +192,35 @@
             clients.log(e);
         } else if (effect instanceof Effect.AcceptUpTo e) {
             gate.most(e.connections());
+        } else {
+            performForOperators(effect);
+        }
+    }
+
+    private void performForOperators(Effect effect) {
+        if (effect instanceof Effect.TellOperator e) {
+            door.tell(e);
+        } else if (effect instanceof Effect.KeepHeld e) {
+            LOG.info("{} is held out", e.server());
+            if (shared != null) {
+                shared.held().keep(e.server(), e.since());
+            }
+        } else if (effect instanceof Effect.DropHeld e) {
+            LOG.info("{} is put back", e.server());
+            if (shared != null) {
+                shared.held().drop(e.server());
+            }
+        } else if (effect instanceof Effect.KeepList e) {
+            if (shared != null) {
+                shared.list().keep(e.list());
+            }
+        } else if (effect instanceof Effect.StopAccepting) {
+            listener.drainAndClose();
         } else if (effect instanceof Effect.Exit) {
             LOG.info("{} has answered all and ends", config.name());
+            if (shared != null) {
+                shared.siblings().vanish();
+            }
             ended.complete();
         }
     }
--- a/src/main/java/ottergauge/transport/OneLoopTransport.java
+++ b/src/main/java/ottergauge/transport/OneLoopTransport.java
@@ -1,27 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.transport;
 
-import io.netty.channel.ChannelFactory;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.ServerChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.vertx.core.impl.transports.NioTransport;
 import java.util.concurrent.ThreadFactory;
 
 /**
- * Has the loop that serves connections accept them too. A thread of its own accepted hundreds while the loop
- * was busy, until no descriptor was left; the library then accepts nothing for a second, and all that had
- * piled up meanwhile used up the descriptors again: the node served nobody for the rest of the day.
+ * Has one loop do everything. A thread of its own accepted hundreds while the loop was busy, until no
+ * descriptor was left; the library then accepts nothing for a second, and all that had piled up meanwhile
+ * used up the descriptors again: the node served nobody for the rest of the day.
  */
 final class OneLoopTransport extends NioTransport {
 
-    private final AcceptGate gate;
     private EventLoopGroup group;
 
-    OneLoopTransport(AcceptGate gate) {
-        this.gate = gate;
-    }
-
     @Override
     public EventLoopGroup eventLoopGroup(int type, int threads, ThreadFactory factory, int ioRatio) {
         if (group == null) {
@@ -29,13 +21,4 @@
         }
         return group;
     }
-
-    @Override
-    public ChannelFactory<? extends ServerChannel> serverChannelFactory(boolean domainSocket) {
-        return () -> {
-            NioServerSocketChannel listener = new NioServerSocketChannel();
-            listener.pipeline().addLast(gate);
-            return listener;
-        };
-    }
 }
--- a/src/test/java/ottergauge/program/RunningNode.java
+++ b/src/test/java/ottergauge/program/RunningNode.java
@@ -22,6 +22,7 @@
 final class RunningNode implements AutoCloseable {
 
     private static final long PATIENCE_S = 30;
+    private static final AtomicLong START = new AtomicLong();
     private static final AtomicLong LAST_ID = new AtomicLong();
 
     final Process process;
@@ -44,8 +45,13 @@
 
     /** Starts a node and waits until it is ready. */
     static RunningNode ready(Path folder, TestConfig config, String discovery) throws Exception {
-        int port = freePort();
+        return ready(folder, config, discovery, freePort());
+    }
+
+    /** The same at a port that another process of this node may share. */
+    static RunningNode ready(Path folder, TestConfig config, String discovery, int port) throws Exception {
         RunningNode node = start(folder, config.at("127.0.0.1:" + port, discovery).json(), port);
+        node.awaitLog("listens on");
         node.await("ready", () -> {
             try (Client client = node.client()) {
                 return client.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200;
@@ -58,7 +64,7 @@
 
     static RunningNode start(Path folder, String config, int port) throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), config);
-        Path log = folder.resolve("log");
+        Path log = folder.resolve("log-" + START.incrementAndGet());
         Matcher run = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE)
             .matcher(Files.readString(Path.of("deploy/balancer.toml")));
         if (!run.find()) {
@@ -67,6 +73,8 @@
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1)).redirectErrorStream(true)
             .redirectOutput(log.toFile());
         builder.environment().put("BALANCER_CONFIG", file.toString());
+        // Of the node and not of the process, as the platform has it.
+        builder.environment().put("TMPDIR", folder.toString());
         return new RunningNode(builder.start(), port, file, log);
     }
 
--- a/src/test/java/ottergauge/protocol/TestConfig.java
+++ b/src/test/java/ottergauge/protocol/TestConfig.java
@@ -11,6 +11,7 @@
     private final List<String> hosts = new ArrayList<>();
     private String listen = "127.0.0.1:3000";
     private String discovery = "127.0.0.1:8500";
+    private String management;
     private int sockets = 1024;
     private int maxAttempts = 5;
     private long idleMs = 10_000;
@@ -43,6 +44,11 @@
         return this;
     }
 
+    public TestConfig managed(String address) {
+        management = address;
+        return this;
+    }
+
     public TestConfig sockets(int most) {
         sockets = most;
         return this;
@@ -77,7 +83,7 @@
 
     public String json() {
         return """
-            {"name":"n1","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
+            {"name":"n1","listen":"%s","discovery":"%s",%s"seed":"8c1f30d27a5be964",
              "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
              "known":%s,
              "settings":{"me":0,"balancers":%d,"zone":"a","zones":["a","b"],"kinds":["m1","m2"],
@@ -94,7 +100,9 @@
                 "hardLimitMs":1000.0,"value":1.0},
                {"name":"grant","semantics":"single_shot","aimMs":800.0,"hardLimitMs":1000.0,"value":1.0}],
               "parties":[]}}
-            """.formatted(listen, discovery, sockets, list(41, true, hosts.toArray(new String[0])),
+            """.formatted(listen, discovery,
+            management == null ? "" : "\"management\":\"" + management + "\",", sockets,
+            list(41, true, hosts.toArray(new String[0])),
             nodes, probes ? "inline" : "off", probes, maxAttempts, idleMs, askMs, probePrice);
     }
 
--- /dev/null
+++ b/src/test/java/ottergauge/routing/OperatorsTest.java
@@ -0,0 +1,182 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static ottergauge.protocol.TestConfig.host;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import ottergauge.DecisionApi.ServerState;
+import ottergauge.protocol.Address;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.TestConfig;
+import ottergauge.routing.Effect.Connect;
+import ottergauge.routing.Effect.DropHeld;
+import ottergauge.routing.Effect.Forward;
+import ottergauge.routing.Effect.KeepHeld;
+import ottergauge.routing.Effect.TellOperator;
+
+/** What operators ask at the door, with no socket. */
+class OperatorsTest {
+
+    private static final String ONE = host("s-1", "10.1.0.1:3000", "in_service");
+    private static final String TWO = host("s-2", "10.1.0.2:3000", "in_service");
+    private static final Address FIRST = new Address("10.1.0.1", 3000);
+
+    private final RouterDriver node = new RouterDriver(new TestConfig().knows(ONE, TWO));
+    private long lastCaller;
+
+    private TellOperator ask(OperatorCall call) {
+        node.tell(new Event.OperatorAsked(++lastCaller, call));
+        TellOperator told = node.expect(TellOperator.class);
+        assertEquals(lastCaller, told.caller());
+        return told;
+    }
+
+    private long figure(String name) {
+        return ask(new OperatorCall.Stats()).text().lines()
+            .filter(line -> line.startsWith("balancer." + name + "="))
+            .mapToLong(line -> Long.parseLong(line.substring(line.indexOf('=') + 1))).sum();
+    }
+
+    private boolean uses(Address server, int requests) {
+        boolean any = false;
+        for (int i = 0; i < requests; i++) {
+            node.request("read");
+            Connect connect = node.expect(Connect.class);
+            any |= connect.address().equals(server);
+            node.tell(new Event.ServerConnected(connect.connection()));
+            Forward forward = node.expect(Forward.class);
+            node.written(forward);
+            // Not kept, so that each request shows by its connection where it goes.
+            node.answer(forward, 200, false, false);
+        }
+        return any;
+    }
+
+    /** From the yes on it drains, whatever the list says of it; one call back undoes two calls out. */
+    @Test
+    void aServerHeldOutGetsNothingUntilItIsPutBack() {
+        assertTrue(uses(FIRST, 8));
+        assertEquals(200, ask(new OperatorCall.Maint("s-1")).status());
+        assertEquals("s-1", node.expect(KeepHeld.class).server());
+        assertEquals(200, ask(new OperatorCall.Maint("s-1")).status());
+        assertEquals(false, uses(FIRST, 8));
+        node.list(42, true, ONE, TWO);
+        assertEquals(false, uses(FIRST, 8));
+        node.list(43, true, TWO);
+        assertEquals(1, figure("members"));
+        node.list(44, true, ONE, TWO);
+        assertEquals(false, uses(FIRST, 8));
+        assertEquals(2, figure("members"));
+        assertEquals(1, figure("members_unavailable"));
+        assertEquals(200, ask(new OperatorCall.Ready("s-1")).status());
+        assertEquals("s-1", node.expect(DropHeld.class).server());
+        node.pass(1000);
+        assertTrue(uses(FIRST, 8));
+        assertEquals(0, figure("members_unavailable"));
+    }
+
+    /** What waits for a connection to it goes elsewhere, and idle connections end: it is going to restart. */
+    @Test
+    void whatWaitedForAServerThatIsTakenOutGoesToAnother() {
+        node.request("grant");
+        Connect connect = node.expect(Connect.class);
+        String held = connect.address().equals(FIRST) ? "s-1" : "s-2";
+        assertEquals(200, ask(new OperatorCall.Maint(held)).status());
+        assertTrue(!node.expect(Connect.class).address().equals(connect.address()));
+        node.tell(new Event.ServerConnected(connect.connection()));
+        assertEquals(connect.connection(), node.expect(Effect.CloseServer.class).connection());
+        node.expectNo(Forward.class);
+    }
+
+    @Test
+    void anUnknownServerIsOwedANo() {
+        assertEquals(404, ask(new OperatorCall.Maint("s-9")).status());
+        assertEquals(404, ask(new OperatorCall.Ready("../s-1")).status());
+        node.expectNo(KeepHeld.class);
+    }
+
+    /** The other process of an upgrade may be the one that is called. */
+    @Test
+    void whatAnotherProcessWasToldIsFollowed() {
+        node.tell(new Event.HeldRead(Map.of("s-1", 5L)));
+        assertEquals(false, uses(FIRST, 8));
+        node.expectNo(KeepHeld.class);
+        node.tell(new Event.HeldRead(Map.of()));
+        node.pass(1000);
+        assertTrue(uses(FIRST, 8));
+    }
+
+    /** Its list is late: without the moment of its return a restarted server counted as warm. */
+    @Test
+    void aServerPutBackCountsAsStartedThen() {
+        Roster roster = new Roster(9_000_000);
+        roster.follow(1_000_000, list(500));
+        roster.hold("s-1", 2_000_000);
+        assertEquals(3_000, roster.release(3_000_000, "s-1").hosts().get(0).bornMs());
+        assertEquals(3_000, roster.follow(4_000_000, list(500)).hosts().get(0).bornMs());
+        assertEquals(2_400, roster.follow(5_000_000, list(2_400)).hosts().get(0).bornMs());
+        assertEquals(500, roster.follow(12_000_001, list(500)).hosts().get(0).bornMs());
+    }
+
+    private static HostList list(long bornMs) {
+        return new HostList(1, true, List.of(new HostList.Host("s-1", FIRST, "a", "m1", 0, ServerState.UP, 1,
+            bornMs)));
+    }
+
+    /** Each request ends under one count, and what its client left under none. */
+    @Test
+    void figuresCountEachRequestOnce() {
+        node.serve(node.connectToNew("read"));
+        Forward failing = node.connectToNew("grant");
+        assertEquals(1, figure("pending"));
+        node.written(failing);
+        node.answer(failing, 500, false);
+        long leaver = node.request("pay");
+        node.tell(new Event.ClientClosed(leaver));
+        node.tell(new Event.ClientClosed(leaver));
+        assertEquals(0, figure("pending"));
+        assertEquals(1, figure("completed.read"));
+        assertEquals(1, figure("failed.grant"));
+        assertEquals(0, figure("failed.pay") + figure("rejected.pay") + figure("completed.pay"));
+        assertEquals(2, figure("upstream_requests"));
+    }
+
+    /** With another process taking clients none is closed while it may ask; each ends with its answer. */
+    @Test
+    void aProcessThatIsSucceededAnswersWhatItsClientsStillAsk() {
+        long idle = node.client();
+        long asks = node.client();
+        node.request(asks, "read", 1000);
+        node.serve(node.connectNext());
+        assertEquals(200, node.status(asks));
+        node.tell(new Event.StopAsked(true));
+        node.expect(Effect.StopAccepting.class);
+        node.pass(900);
+        node.expectNo(Effect.CloseClient.class);
+        node.request(asks, "read", 1000);
+        Forward forward = node.connectNext();
+        assertTrue(forward.waits() <= 600_000, "it ends before the kill");
+        node.written(forward);
+        node.answer(forward, 200, false);
+        assertTrue(node.expect(Effect.Respond.class).last());
+        node.tell(new Event.ClientClosed(asks));
+        node.pass(250);
+        assertEquals(idle, node.expect(Effect.CloseClient.class).client());
+        node.expect(Effect.Exit.class);
+    }
+
+    /** Two processes have the node's descriptors together. */
+    @Test
+    void besideAnotherProcessANodeKeepsToHalf() {
+        int alone = node.expect(Effect.AcceptUpTo.class).connections();
+        node.tell(new Event.CompanySeen(true));
+        int beside = node.expect(Effect.AcceptUpTo.class).connections();
+        node.tell(new Event.CompanySeen(false));
+        assertTrue(beside < alone / 2 + 16, beside + " of " + alone);
+        assertEquals(alone, node.expect(Effect.AcceptUpTo.class).connections());
+    }
+}
--- a/src/test/java/ottergauge/routing/RouterTest.java
+++ b/src/test/java/ottergauge/routing/RouterTest.java
@@ -683,7 +683,7 @@
         long taken = node.request("read");
         Forward forward = node.connectNext();
         node.written(forward);
-        node.tell(new Event.StopAsked());
+        node.tell(new Event.StopAsked(false));
         long asking = node.client();
         node.tell(new Event.HealthAsked(asking, true));
         assertEquals(503, node.status(asking));
@@ -710,7 +710,7 @@
     @Test
     void aClientThatComesLateAndSendsNothingDoesNotKeepTheNodeFromEnding() {
         RouterDriver node = one();
-        node.tell(new Event.StopAsked());
+        node.tell(new Event.StopAsked(false));
         long busy = node.request("read");
         Forward forward = node.connectNext();
         node.written(forward);
