--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -191,6 +191,7 @@
         Attempt firstThatMayHaveRun;
         boolean repeat;
         boolean started;
+        boolean once;
         boolean over;
         boolean held;
         Server sounding;
@@ -219,7 +220,22 @@
     private static final Comparator<Request> BY_WORTH =
         Comparator.comparingDouble((Request q) -> -q.worth).thenComparing(BY_END);
 
-    private record Attempt(Request request, int number, Server server, long sentAt, double loadBefore) { }
+    private static final class Attempt {
+        final Request request;
+        final int number;
+        final Server server;
+        final double loadBefore;
+        // NEVER while a body still passes to the server.
+        long sentAt;
+
+        Attempt(Request request, int number, Server server, long sentAt, double loadBefore) {
+            this.request = request;
+            this.number = number;
+            this.server = server;
+            this.sentAt = sentAt;
+            this.loadBefore = loadBefore;
+        }
+    }
 
     private final Settings settings;
     private final SplittableRandom random;
@@ -309,6 +325,10 @@
             clientGone(e);
         } else if (event instanceof AnswerStarted e) {
             answerStarted(e);
+        } else if (event instanceof BodyPassing e) {
+            bodyPasses(e.id(), e.attempt(), true);
+        } else if (event instanceof BodyPassed e) {
+            bodyPasses(e.id(), e.attempt(), false);
         } else if (!(event instanceof TimerFired)) {
             throw new IllegalArgumentException("unknown event " + event);
         }
@@ -427,6 +447,39 @@
         }
     }
 
+    // Departure "passing bodies": what is passed on as it comes is sent once, and until its last byte the
+    // server has nothing to do with it. Counted as work, a few slow clients made all servers look full.
+    private void bodyPasses(String id, int number, boolean passing) {
+        Request q = requests.get(id);
+        Attempt a = q == null ? null : attempt(q, number);
+        if (a == null || passing == (a.sentAt == NEVER)) {
+            return;
+        }
+        q.once = true;
+        if (passing) {
+            unload(a);
+        } else {
+            load(a);
+        }
+        a.sentAt = passing ? NEVER : now;
+    }
+
+    private static Attempt attempt(Request q, int number) {
+        return q.out.stream().filter(each -> each.number == number).findFirst().orElse(null);
+    }
+
+    private void load(Attempt a) {
+        a.server.out.add(a);
+        out.add(a);
+        a.server.load += 1;
+    }
+
+    private void unload(Attempt a) {
+        a.server.out.remove(a);
+        out.remove(a);
+        a.server.load = Math.max(0, a.server.load - 1);
+    }
+
     // ==== No effect twice ============================================================================
 
     private static boolean untouched(Request q) {
@@ -440,7 +493,7 @@
 
     // Whether the rules let this server have the request's next attempt; no other attempt of it is out.
     private boolean maySend(Request q, Server s) {
-        if (q.attempts >= settings.limits().maxAttempts()) {
+        if (q.attempts >= settings.limits().maxAttempts() || q.once) {
             return false;
         }
         if (q.type.repeat() == Repeat.SAFE || untouched(q)) {
@@ -805,12 +858,10 @@
         Attempt a = new Attempt(q, q.attempts++, s, now,
             hears ? Math.max(s.out.size(), believed(s)) : Math.max(s.load, s.out.size()));
         q.out.add(a);
-        s.out.add(a);
-        out.add(a);
+        load(a);
         if (out.size() > subset.size() && subset.size() < servers.size()) {
             chooseSubset();
         }
-        s.load += 1;
         if (!held.isEmpty()) {
             pace = blend(pace, now - sentAt);
         }
@@ -824,16 +875,15 @@
 
     private void attemptEnded(AttemptEnded e) {
         Request q = requests.get(e.id());
-        Attempt a = q == null ? null
-            : q.out.stream().filter(each -> each.number == e.attempt()).findFirst().orElse(null);
+        Attempt a = q == null ? null : attempt(q, e.attempt());
         if (a == null) {
             return;
         }
         Server s = a.server;
         q.out.remove(a);
-        s.out.remove(a);
-        out.remove(a);
-        s.load = Math.max(0, s.load - 1);
+        if (a.sentAt != NEVER) {
+            unload(a);
+        }
         // Heard of a server that fails at once, an empty queue would draw the traffic to it.
         if (!hears || e.result() == Result.SERVED) {
             report(s, e.report(), e.result() == Result.SERVED ? 1 : 0);
@@ -1027,7 +1077,7 @@
         Request q = a.request;
         boolean mayRepeat = q.type.repeat() == Repeat.SAFE
             || q.type.repeat() == Repeat.KEYED && now < a.sentAt + q.type.window() / 2;
-        if (!q.over && !q.started && mayRepeat && settings.limits().cancel()
+        if (!q.over && !q.started && !q.once && mayRepeat && settings.limits().cancel()
             && q.attempts < settings.limits().maxAttempts() && !doomed(q)) {
             sink.accept(new Cancel(q.id, a.number));
         }
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -91,6 +91,15 @@
     /** The answer of a streamed class has begun: the attempt now belongs to the client. */
     public record AnswerStarted(String id, int attempt) implements Event { }
 
+    /**
+     * The body of a request passes to the attempt's server as it comes: it cannot be sent again, and no time
+     * runs until all of it has passed.
+     */
+    public record BodyPassing(String id, int attempt) implements Event { }
+
+    /** The last byte of such a body has passed: the server begins now. */
+    public record BodyPassed(String id, int attempt) implements Event { }
+
     /** An attempt ended; {@code over} says that its request needs no answer of this node any more. */
     public record AttemptEnded(String id, int attempt, long server, Result result, long elapsed, boolean over,
                                LoadReport report) implements Event { }
--- a/src/main/java/ottergauge/protocol/NodeConfig.java
+++ b/src/main/java/ottergauge/protocol/NodeConfig.java
@@ -18,7 +18,8 @@
  */
 public record NodeConfig(String name, Address listen, Address discovery, long seed, int sockets,
                          HostList known, Settings settings, List<String> zones, List<String> kinds,
-                         long connectTimeout, long connectionIdle, long askWithin, Address management) {
+                         long connectTimeout, long connectionIdle, long askWithin, Address management,
+                         int memoryMb) {
 
     private static final int HEXADECIMAL = 16;
 
@@ -60,20 +61,21 @@
             SettingsReader.names(settings, "zones"), SettingsReader.names(settings, "kinds"),
             limits.micros("connectTimeoutMs", 1000), limits.micros("connIdleMs", 15_000),
             new SettingsReader(settings).child("rules").micros("mustAskInMs", 10_000),
-            tree.get("management") == null ? null : Address.parse(root.text("management", null)));
+            tree.get("management") == null ? null : Address.parse(root.text("management", null)),
+            (int) root.child("limits").number("memory_mb", 128));
     }
 
     /** The same with an operators' address, if it has none yet and there is one. */
     public NodeConfig managedAt(String address) throws ProtocolException {
         return management != null || address == null || address.isEmpty() ? this
             : new NodeConfig(name, listen, discovery, seed, sockets, known, settings, zones, kinds,
-                connectTimeout, connectionIdle, askWithin, Address.parse(address));
+                connectTimeout, connectionIdle, askWithin, Address.parse(address), memoryMb);
     }
 
     /** The same with a list that is newer. */
     public NodeConfig knowing(HostList list) {
         return new NodeConfig(name, listen, discovery, seed, sockets, list, settings, zones, kinds,
-            connectTimeout, connectionIdle, askWithin, management);
+            connectTimeout, connectionIdle, askWithin, management, memoryMb);
     }
 
     private static long seed(String hex) throws ProtocolException {
--- a/src/main/java/ottergauge/routing/Clients.java
+++ b/src/main/java/ottergauge/routing/Clients.java
@@ -9,13 +9,23 @@
 import ottergauge.protocol.Content;
 import ottergauge.routing.Effect.CloseClient;
 import ottergauge.routing.Effect.NotTaken;
+import ottergauge.routing.Effect.PassOn;
 import ottergauge.routing.Effect.Respond;
 
 /** The clients' connections and what each is doing. */
 final class Clients {
 
-    // A bad client is owed an end within 3 s of connecting; a sweep may come a good while late.
+    // A body that stands still for so long does not come any more.
     private static final long PATIENCE = 2_000_000;
+    // A head may take 2 s. A bad client is owed an end within 3 s of connecting, and a sweep may come late.
+    private static final long HEAD_WITHIN = 2_600_000;
+    // What is left for a first body when its head took all of that.
+    private static final long BODY_BEGINS_WITHIN = 350_000;
+    // Bytes a second that a body comes with on the whole: a quarter of the slowest that is promised. At a
+    // byte now and then a connection would be held for as long as its client likes.
+    private static final long LEAST_RATE = 16_000;
+    // An answer that flows: the system's own buffers take so much that a slow reader's stand still for long.
+    private static final long FLOW_PATIENCE = 10_000_000;
     // A client that is going to ask again does so sooner as a rule; connections kept for nothing only grow.
     private static final long IDLE_FOR = 5_000_000;
     // What connects sends its request at once: this young, a connection is not idle but on its way.
@@ -31,6 +41,7 @@
         /** When it is closed, should it stay as it is; what is open has its own time. */
         long closeAt;
         boolean asked;
+        long moved;
         Exchange exchange;
     }
 
@@ -54,7 +65,7 @@
     void connected(long now, long number) {
         Client client = new Client();
         clients.put(number, client);
-        rest(now, number, client, PATIENCE);
+        rest(now, number, client, HEAD_WITHIN);
     }
 
     private void rest(long now, long number, Client client, long patience) {
@@ -69,31 +80,90 @@
         idle.remove(number);
     }
 
-    void began(long now, long number) {
+    void headBegan(long now, long number) {
         Client client = clients.get(number);
-        if (client != null) {
+        if (client != null && client.stage == Stage.IDLE) {
             busy(number, client, Stage.READING);
-            client.since = now;
             if (client.asked) {
-                client.closeAt = now + PATIENCE;
+                client.closeAt = now + HEAD_WITHIN;
             }
         }
     }
 
-    /** When the request that has now been read began to come. */
-    long beganAt(long number, long otherwise) {
+    /** A body gets on, from the client or to it. */
+    void moved(long now, long number, long bytes) {
+        Client client = clients.get(number);
+        if (client == null) {
+            return;
+        }
+        client.moved += bytes;
+        if (client.stage == Stage.READING) {
+            client.closeAt = Math.min(now + PATIENCE,
+                client.since + PATIENCE + client.moved * 1_000_000 / LEAST_RATE);
+        } else if (client.stage == Stage.ANSWERING) {
+            client.closeAt = now + (client.exchange == null ? PATIENCE : FLOW_PATIENCE);
+        }
+    }
+
+    void began(long now, long number) {
         Client client = clients.get(number);
-        return client != null && client.stage == Stage.READING ? client.since : otherwise;
+        if (client != null) {
+            busy(number, client, Stage.READING);
+            client.since = now;
+            client.moved = 0;
+            client.closeAt = client.asked ? now + PATIENCE
+                : Math.max(client.closeAt, now + BODY_BEGINS_WITHIN);
+        }
     }
 
     void took(long number, Exchange exchange) {
         Client client = clients.get(number);
         if (client != null) {
-            busy(number, client, Stage.OPEN);
+            // What flows goes on being read.
+            busy(number, client, exchange.whole ? Stage.OPEN : Stage.READING);
             client.exchange = exchange;
         }
     }
 
+    /** The last byte of a request that flows has come; gives back the request. */
+    Exchange readWhole(long number) {
+        Client client = clients.get(number);
+        if (client == null || client.exchange == null) {
+            return null;
+        }
+        busy(number, client, Stage.OPEN);
+        return client.exchange;
+    }
+
+    /** An answer begins to be passed on; false if the client has gone. */
+    boolean passOn(long now, long number, long connection) {
+        Client client = clients.get(number);
+        if (client == null) {
+            return false;
+        }
+        busy(number, client, Stage.ANSWERING);
+        client.asked = true;
+        client.closeAt = now + FLOW_PATIENCE;
+        effects.accept(new PassOn(number, connection, stopping));
+        return true;
+    }
+
+    /** The answer that was passed on is whole: the rest is the client's connection's. */
+    void passedOn(long now, long number) {
+        Client client = clients.get(number);
+        if (client != null) {
+            client.exchange = null;
+            client.closeAt = now + FLOW_PATIENCE;
+        }
+    }
+
+    /** Ends a connection whose answer can't be finished: short of its length, so that the client can tell. */
+    void cutShort(long number) {
+        if (clients.containsKey(number)) {
+            close(number, CloseReason.CUT_SHORT);
+        }
+    }
+
     /** Takes back the request that a connection carries; null if it carries none. */
     Exchange withdraw(long number) {
         Client client = clients.get(number);
@@ -108,11 +178,13 @@
     void respond(long now, long number, int status, long retryAfter, Content content, boolean close) {
         Client client = clients.get(number);
         if (client != null) {
+            // What is answered before it has come whole has no end that a next request could follow.
+            boolean half = client.stage == Stage.READING && client.exchange != null;
             busy(number, client, Stage.ANSWERING);
             client.exchange = null;
             client.asked = true;
             client.closeAt = now + PATIENCE;
-            effects.accept(new Respond(number, status, retryAfter, content, close || stopping));
+            effects.accept(new Respond(number, status, retryAfter, content, close || half || stopping));
         }
     }
 
@@ -159,6 +231,13 @@
         for (Map.Entry<Long, Client> entry : new ArrayList<>(clients.entrySet())) {
             Client client = entry.getValue();
             if (client.stage != Stage.OPEN && now >= client.closeAt) {
+                if (client.exchange != null) {
+                    // Its end comes back as an event, and with it what becomes of the request.
+                    client.closeAt = Long.MAX_VALUE;
+                    effects.accept(new CloseClient(entry.getKey(), client.stage == Stage.READING
+                        ? CloseReason.SLOW_REQUEST : CloseReason.SLOW_ANSWER));
+                    continue;
+                }
                 close(entry.getKey(), switch (client.stage) {
                     case READING -> CloseReason.SLOW_REQUEST;
                     case ANSWERING -> CloseReason.SLOW_ANSWER;
--- a/src/main/java/ottergauge/routing/CloseReason.java
+++ b/src/main/java/ottergauge/routing/CloseReason.java
@@ -27,6 +27,10 @@
     SLOW_REQUEST,
     /** Its client did not take the answer in time. */
     SLOW_ANSWER,
+    /** The server broke off an answer that was being passed on. */
+    CUT_SHORT,
+    /** Its client left while the answer was being passed on. */
+    CLIENT_GONE,
     /** Its client connected and asked nothing. */
     SILENT,
     /** Discovery is at another address now, or its call was given up for a later one. */
--- a/src/main/java/ottergauge/routing/Effect.java
+++ b/src/main/java/ottergauge/routing/Effect.java
@@ -26,6 +26,16 @@
     /** Writes a request to a server; {@code waits} is how long the node will wait for the answer. */
     record Forward(long connection, ClientRequest request, long waits) implements Effect { }
 
+    /** Writes the head of a request to a server, and what comes of its body as it comes. */
+    record ForwardFlow(long connection, ClientRequest request, long waits, long client)
+        implements Effect { }
+
+    /** Lets an answer flow that has begun and does not tell its length. */
+    record FlowNow(long connection) implements Effect { }
+
+    /** Passes a server's answer on to a client as it comes. */
+    record PassOn(long client, long connection, boolean last) implements Effect { }
+
     /** Asks a server for its load. */
     record AskLoad(long connection) implements Effect { }
 
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -26,6 +26,18 @@
     /** The last byte of a request has come. */
     record RequestRead(long client, ClientRequest request) implements Event { }
 
+    /** The first bytes of a head have come. */
+    record HeadBegan(long client) implements Event { }
+
+    /** So many bytes of a body have moved, from the client or to it, since this was told last. */
+    record BodyMoved(long client, long bytes) implements Event { }
+
+    /** A request too large to be kept; its content is what came first, and the rest flows. */
+    record RequestFlows(long client, ClientRequest request) implements Event { }
+
+    /** The last byte of a request that flows has come. */
+    record RequestEnded(long client) implements Event { }
+
     /** What came is no request that the node takes; the status says why. */
     record RequestUnreadable(long client, int status, String why) implements Event { }
 
@@ -46,6 +58,15 @@
 
     record AnswerRead(long connection, ServerAnswer answer) implements Event { }
 
+    /** The head of an answer has come that does not tell its length. */
+    record AnswerOpen(long connection) implements Event { }
+
+    /** An answer too large to be kept, and how long ago its head came; the rest is not read yet. */
+    record AnswerFlows(long connection, ServerAnswer answer, long sinceHead) implements Event { }
+
+    /** The last byte of an answer that flows is passed on to the client's connection. */
+    record AnswerEnded(long connection, boolean reusable) implements Event { }
+
     /** A connection has ended; {@code spoilt} because what came on it was no answer. */
     record ServerClosed(long connection, boolean spoilt) implements Event { }
 
--- a/src/main/java/ottergauge/routing/Exchange.java
+++ b/src/main/java/ottergauge/routing/Exchange.java
@@ -11,16 +11,28 @@
     final long client;
     final int requestClass;
     final ClientRequest request;
-    final long giveUpAt;
+    /** How long the client waits from the last byte of its request. */
+    final long waits;
+    long giveUpAt;
+    /** It is too large to be kept: passed on as it comes, it can be sent once. */
+    final boolean flows;
+    /** Whether its last byte has come. */
+    boolean whole;
+    /** The attempt whose answer is being passed on. */
+    Job passing;
     final List<Job> out = new ArrayList<>(1);
     int attempts;
     boolean over;
 
-    Exchange(String id, long client, int requestClass, ClientRequest request, long giveUpAt) {
+    Exchange(String id, long client, int requestClass, ClientRequest request, long giveUpAt, long waits,
+             boolean flows) {
         this.id = id;
         this.client = client;
         this.requestClass = requestClass;
         this.request = request;
         this.giveUpAt = giveUpAt;
+        this.waits = waits;
+        this.flows = flows;
+        whole = !flows;
     }
 }
--- a/src/main/java/ottergauge/routing/Job.java
+++ b/src/main/java/ottergauge/routing/Job.java
@@ -7,8 +7,9 @@
     final Exchange exchange;
     final int attempt;
     final long server;
-    final long startedAt;
-    final long dueAt;
+    /** When it was sent; a request that flows, when its last byte was. */
+    long startedAt;
+    long dueAt;
     /** Set once a connection carries it. */
     ServerConnection connection;
     /** Whether its last byte is written: until then it cannot have run. */
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -4,13 +4,17 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import ottergauge.Decide;
 import ottergauge.DecisionApi;
 import ottergauge.DecisionApi.AttemptEnded;
+import ottergauge.DecisionApi.BodyPassed;
+import ottergauge.DecisionApi.BodyPassing;
 import ottergauge.DecisionApi.ClientGone;
 import ottergauge.DecisionApi.LoadReport;
 import ottergauge.DecisionApi.ProbeEnded;
@@ -25,6 +29,7 @@
 import ottergauge.protocol.RequestFields;
 import ottergauge.routing.Effect.AcceptUpTo;
 import ottergauge.routing.Effect.Exit;
+import ottergauge.routing.Effect.FlowNow;
 import ottergauge.routing.Effect.KeepList;
 import ottergauge.routing.Effect.StartTimer;
 import ottergauge.routing.Effect.StopAccepting;
@@ -52,6 +57,13 @@
     private static final int DOOR_RESERVE = 32;
     // Connections that the listener takes at once before it looks whether it may take more.
     private static final int ACCEPTED_AT_ONCE = 16;
+    // Bodies on their way at once for each MB of the memory limit. Each has a first part of 64 KiB at the
+    // most, or a read's worth and what is not written yet, in memory: all together an eighth of it.
+    private static final int FLOWS_A_MB = 2;
+    // Of these, requests: an answer that has begun was worked for, and cannot be refused any more.
+    private static final double REQUESTS_PART = 0.75;
+    // What a timer's instant may differ by from the clock's.
+    private static final long TIMERS_SPREAD = 1_000;
     // Clients have this part of the sockets at most, so that there are always some for what they ask.
     private static final double CLIENT_PART = 2.0 / 3;
     // Often enough that what is closed after 2 s is closed well within 3 s.
@@ -77,6 +89,8 @@
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final Map<String, Exchange> byTraceId = new HashMap<>();
     private final Map<Long, Job> jobs = new HashMap<>();
+    /** The requests whose body, or whose answer's, is on its way. */
+    private final Set<Exchange> flowing = new HashSet<>();
     private final Deque<DecisionApi.Event> learnt = new ArrayDeque<>();
     private final Deque<DecisionApi.Action> decided = new ArrayDeque<>();
     private int descriptors;
@@ -99,7 +113,7 @@
             classes.put(type.name(), classes.size());
         }
         clients = new Clients(effects);
-        upstreams = new Upstreams(config.connectTimeout(), config.connectionIdle(), effects);
+        upstreams = new Upstreams(config.connectTimeout(), config.connectionIdle(), effects, this::carried);
         watch = new Watch(config, effects);
         roster = new Roster(config.settings().rules().coldFor());
         figures = new Figures(config.settings().classes());
@@ -122,16 +136,28 @@
     public void handle(long at, Event event) {
         now = at;
         if (event instanceof RequestRead e) {
-            requestRead(e);
+            requestRead(e.client(), e.request(), false);
         } else if (event instanceof AnswerRead e) {
             upstreams.answered(now, e.connection(), e.answer().reusable())
                 .ifPresent(job -> ended(job, e.answer()));
         } else if (event instanceof Event.RequestBegan e) {
             clients.began(now, e.client());
+        } else if (event instanceof Event.HeadBegan e) {
+            clients.headBegan(now, e.client());
+        } else if (event instanceof Event.BodyMoved e) {
+            clients.moved(now, e.client(), e.bytes());
+        } else if (event instanceof Event.RequestFlows e) {
+            requestRead(e.client(), e.request(), true);
+        } else if (event instanceof Event.RequestEnded e) {
+            requestEnded(e.client());
+        } else if (event instanceof Event.AnswerFlows e) {
+            answerFlows(e.connection(), e.answer(), e.sinceHead());
+        } else if (event instanceof Event.AnswerOpen e) {
+            upstreams.carriedBy(e.connection()).ifPresent(this::answerOpen);
+        } else if (event instanceof Event.AnswerEnded e) {
+            answerEnded(e.connection(), e.reusable());
         } else if (event instanceof Event.RequestWritten e) {
-            if (upstreams.written(e.connection())) {
-                figures.attempted();
-            }
+            upstreams.written(e.connection()).ifPresent(this::written);
         } else if (event instanceof Event.AnswerWritten e) {
             clients.answerWritten(now, e.client());
         } else if (event instanceof Event.TimerFired e) {
@@ -142,16 +168,14 @@
         } else if (event instanceof Event.ClientClosed e) {
             Exchange exchange = clients.closed(e.client());
             if (exchange != null) {
-                figures.abandoned();
-                over(exchange);
-                learnt.add(new ClientGone(exchange.id));
+                clientGone(exchange);
             }
         } else if (event instanceof Event.ServerConnected e) {
             upstreams.connected(now, e.connection());
         } else if (event instanceof Event.ConnectFailed e) {
             upstreams.connectFailed(now, e.connection()).ifPresent(job -> ended(job, Result.CONNECT_FAILED));
         } else if (event instanceof Event.ServerClosed e) {
-            upstreams.closed(e.connection()).ifPresent(job -> ended(job, broken(job, e.spoilt())));
+            upstreams.closed(e.connection()).ifPresent(job -> serverClosed(job, e.spoilt()));
         } else if (event instanceof Event.ListRead e) {
             listRead(e);
         } else if (event instanceof Event.ListCallFailed e) {
@@ -165,14 +189,7 @@
             clients.respond(now, e.client(), e.readiness() && stopping ? UNAVAILABLE : OK, 0, Content.NONE,
                 false);
         } else if (event instanceof Event.RequestUnreadable e) {
-            Exchange exchange = clients.withdraw(e.client());
-            if (exchange != null) {
-                // More came behind a request that is open: which answer is whose is not known any more.
-                figures.failed(exchange.requestClass);
-                over(exchange);
-                learnt.add(new ClientGone(exchange.id));
-            }
-            clients.reject(now, e.client(), e.status(), e.why());
+            unreadable(e);
         } else if (event instanceof Event.OperatorAsked e) {
             operators.asked(now, stopping, e.caller(), e.call());
         } else if (event instanceof Event.HeldRead e) {
@@ -189,36 +206,164 @@
 
     // ---- Clients ------------------------------------------------------------------------------------
 
-    private void requestRead(RequestRead e) {
-        RequestFields fields = e.request().fields();
+    private void requestRead(long client, ClientRequest request, boolean flows) {
+        RequestFields fields = request.fields();
         Integer requestClass = classes.get(fields.requestClass());
         if (requestClass == null) {
-            clients.reject(now, e.client(), BAD_REQUEST, "unknown class " + fields.requestClass());
+            clients.reject(now, client, BAD_REQUEST, "unknown class " + fields.requestClass());
             return;
         }
-        if (!fits(e.request(), config.settings().classes().get(requestClass).repeat())) {
-            clients.reject(now, e.client(), BAD_REQUEST, "method, key or body are not the class's");
+        if (flows && config.settings().classes().get(requestClass).repeat() == Repeat.SAFE
+            || !fits(request, config.settings().classes().get(requestClass).repeat())) {
+            clients.reject(now, client, BAD_REQUEST, "method, key or body are not the class's");
             return;
         }
         if (byTraceId.containsKey(fields.traceId())) {
             // Sent on, a server would have two copies of one request out.
-            clients.reject(now, e.client(), CONFLICT, "a request with this id is open");
+            clients.reject(now, client, CONFLICT, "a request with this id is open");
             return;
         }
-        long wait = e.request().fields().expiresInMs() * 1000;
+        long wait = fields.expiresInMs() * 1000;
         if (wait < 0) {
             wait = config.settings().classes().get(requestClass).deadline();
         }
-        // The client's time runs from when it sent the request, which is nearer to the first byte.
-        long giveUpAt = Math.min(lastAnswer, clients.beganAt(e.client(), now) + wait);
-        Exchange exchange = new Exchange(Long.toString(++lastExchange), e.client(), requestClass, e.request(),
-            giveUpAt);
+        // The client's time runs from the last byte of its request.
+        long giveUpAt = Math.min(lastAnswer, now + wait);
+        Exchange exchange = new Exchange(Long.toString(++lastExchange), client, requestClass, request,
+            giveUpAt, wait, flows);
         exchanges.put(exchange.id, exchange);
         byTraceId.put(fields.traceId(), exchange);
-        clients.took(e.client(), exchange);
-        figures.taken();
+        clients.took(client, exchange);
+        if (!flows) {
+            figures.taken();
+        } else if (flowing.size() < mostFlows() * REQUESTS_PART) {
+            flowing.add(exchange);
+        } else {
+            answer(exchange.id, UNAVAILABLE, config.settings().limits().retryAfter()
+                ? config.settings().limits().maxRetryAfter() : 0, Content.NONE);
+            return;
+        }
         learnt.add(new RequestArrived(exchange.id, requestClass, giveUpAt,
-            e.request().fields().secondTry(), key(e.request())));
+            fields.secondTry(), key(request)));
+    }
+
+    private void unreadable(Event.RequestUnreadable e) {
+        Exchange exchange = clients.withdraw(e.client());
+        if (exchange == null) {
+            clients.reject(now, e.client(), e.status(), e.why());
+            return;
+        }
+        // More came behind a request that is open: which answer is whose is not known any more.
+        count(exchange);
+        figures.failed(exchange.requestClass);
+        if (exchange.passing != null) {
+            upstreams.giveUp(exchange.passing, CloseReason.CLIENT_GONE);
+            passed(exchange);
+            clients.cutShort(e.client());
+            return;
+        }
+        over(exchange);
+        learnt.add(new ClientGone(exchange.id));
+        clients.reject(now, e.client(), e.status(), e.why());
+    }
+
+    private void requestEnded(long client) {
+        Exchange exchange = clients.readWhole(client);
+        if (exchange != null) {
+            exchange.giveUpAt = Math.min(lastAnswer, now + exchange.waits);
+            flowing.remove(exchange);
+            count(exchange);
+        }
+    }
+
+    // What flows counts as taken once it has come whole, or is answered before that.
+    private void count(Exchange exchange) {
+        if (!exchange.whole) {
+            exchange.whole = true;
+            figures.taken();
+        }
+    }
+
+    private void clientGone(Exchange exchange) {
+        if (exchange.whole) {
+            figures.abandoned();
+        }
+        if (exchange.passing != null) {
+            upstreams.giveUp(exchange.passing, CloseReason.CLIENT_GONE);
+            passed(exchange);
+            return;
+        }
+        over(exchange);
+        learnt.add(new ClientGone(exchange.id));
+    }
+
+    // All bodies on their way together have this part of the memory; a process that is accompanied, half.
+    private int mostFlows() {
+        return Math.max(2, config.memoryMb() * FLOWS_A_MB / (accompanied ? 2 : 1));
+    }
+
+    private void passed(Exchange exchange) {
+        exchange.passing = null;
+        flowing.remove(exchange);
+    }
+
+    // ---- Answers that flow ----------------------------------------------------------------------------
+
+    // Its first bytes are what is timed: for the decisions the attempt ends here, and how fast the client
+    // reads is not told of the server. From now on no deadline cuts it.
+    private void answerFlows(long connection, ServerAnswer answer, long sinceHead) {
+        Job job = upstreams.carriedBy(connection).orElse(null);
+        if (job == null) {
+            return;
+        }
+        Exchange exchange = job.exchange;
+        // One that comes before its request is whole is no answer to it.
+        Result result = exchange == null || !exchange.whole ? Result.ERROR
+            : Outcomes.of(answer.status(), answer.neverRan());
+        if (result == Result.SERVED && !exchange.over && flowing.size() < mostFlows()
+            && clients.passOn(now, exchange.client, connection)) {
+            over(exchange);
+            exchange.passing = job;
+            flowing.add(exchange);
+        } else {
+            upstreams.giveUp(job, CloseReason.NOT_REUSABLE);
+            result = result == Result.SERVED ? Result.ERROR : result;
+        }
+        job.startedAt = Math.min(now, job.startedAt + sinceHead);
+        ended(job, result, answer.report());
+    }
+
+    // It may be as long as any. Over 64 KiB the first bytes are what counts: kept until its time is up, they
+    // would come too late. Half of what is left is enough for one that is short.
+    private void answerOpen(Job job) {
+        if (!job.isProbe()) {
+            effects.accept(new StartTimer(Math.max(1, (job.dueAt - now) / 2), new Timer.FlowDue(job.number)));
+        }
+    }
+
+    private void flowDue(long number) {
+        Job job = jobs.get(number);
+        if (job != null && job.connection != null && !job.exchange.over) {
+            effects.accept(new FlowNow(job.connection.number));
+        }
+    }
+
+    private void answerEnded(long connection, boolean reusable) {
+        upstreams.answered(now, connection, reusable).ifPresent(job -> {
+            passed(job.exchange);
+            figures.completed(job.exchange.requestClass);
+            clients.passedOn(now, job.exchange.client);
+        });
+    }
+
+    private void serverClosed(Job job, boolean spoilt) {
+        if (job.exchange == null || job.exchange.passing != job) {
+            ended(job, broken(job, spoilt));
+            return;
+        }
+        passed(job.exchange);
+        figures.failed(job.exchange.requestClass);
+        clients.cutShort(job.exchange.client);
     }
 
     // What a request is about is its address: requests of one address find each other's work at a server.
@@ -239,6 +384,7 @@
     private void answer(String id, int status, long retryAfter, Content content) {
         Exchange exchange = exchanges.get(id);
         if (exchange != null && !exchange.over) {
+            count(exchange);
             switch (status) {
                 case OK -> figures.completed(exchange.requestClass);
                 case UNAVAILABLE -> figures.rejected(exchange.requestClass);
@@ -251,6 +397,7 @@
 
     private void over(Exchange exchange) {
         exchange.over = true;
+        flowing.remove(exchange);
         forgetIfDone(exchange);
     }
 
@@ -307,12 +454,37 @@
 
     private void due(long number) {
         Job job = jobs.get(number);
-        if (job != null) {
+        // What flows is given as long as it takes, and its time anew when its last byte is written.
+        if (job != null && now >= job.dueAt - TIMERS_SPREAD && !flowing(job)) {
             upstreams.giveUp(job, CloseReason.TIMED_OUT);
             ended(job, job.written ? Result.TIMED_OUT : Result.CONNECT_FAILED);
         }
     }
 
+    private static boolean flowing(Job job) {
+        return !job.isProbe() && job.exchange.flows && job.connection != null && !job.written;
+    }
+
+    private void carried(Job job) {
+        if (flowing(job)) {
+            learnt.add(new BodyPassing(job.exchange.id, job.attempt));
+        }
+    }
+
+    private void written(Job job) {
+        if (job.isProbe()) {
+            return;
+        }
+        figures.attempted();
+        if (job.exchange.flows) {
+            long limit = job.dueAt - job.startedAt;
+            job.startedAt = now;
+            job.dueAt = Math.max(now + 1, Math.min(now + limit, job.exchange.giveUpAt));
+            effects.accept(new StartTimer(job.dueAt - now, new Timer.JobDue(job.number)));
+            learnt.add(new BodyPassed(job.exchange.id, job.attempt));
+        }
+    }
+
     // A server begins a request when its last byte has come: before that is written nothing can have run.
     // What cannot be read, or a kept connection that breaks, does not tell that the server died. Taken for
     // one that did and came back, it would be barred and then held to a cold server's budget: on a day of
@@ -423,6 +595,8 @@
             learnt.add(new DecisionApi.TimerFired(wake.token()));
         } else if (timer instanceof Timer.JobDue due) {
             due(due.job());
+        } else if (timer instanceof Timer.FlowDue due) {
+            flowDue(due.job());
         } else if (timer instanceof Timer.NextCall) {
             watch.resume(now);
         } else if (timer instanceof Timer.FrontQuiet) {
--- a/src/main/java/ottergauge/routing/Timer.java
+++ b/src/main/java/ottergauge/routing/Timer.java
@@ -10,6 +10,9 @@
     /** An attempt's or probe's time is over. */
     record JobDue(long job) implements Timer { }
 
+    /** An answer that does not tell its length has had its time to come whole. */
+    record FlowDue(long job) implements Timer { }
+
     /** Time to look for connections that have been idle, or half a request, for too long. */
     record Sweep() implements Timer { }
 
--- a/src/main/java/ottergauge/routing/Upstreams.java
+++ b/src/main/java/ottergauge/routing/Upstreams.java
@@ -17,6 +17,7 @@
 import ottergauge.routing.Effect.CloseServer;
 import ottergauge.routing.Effect.Connect;
 import ottergauge.routing.Effect.Forward;
+import ottergauge.routing.Effect.ForwardFlow;
 
 /**
  * The connections to all servers: each carries one job at a time, is kept while idle, and a job that finds
@@ -31,13 +32,16 @@
     private final ConnectPatience patience;
     private final long idleFor;
     private final Consumer<Effect> effects;
+    private final Consumer<Job> carried;
     private final Map<Long, Upstream> byServer = new HashMap<>();
     private final Map<Long, ServerConnection> connections = new HashMap<>();
     /** In the order in which they became idle. */
     private final Set<ServerConnection> idle = new LinkedHashSet<>();
     private long lastNumber;
 
-    Upstreams(long connectTimeout, long serverIdle, Consumer<Effect> effects) {
+    /** {@code carried} hears of each job that a connection begins to carry. */
+    Upstreams(long connectTimeout, long serverIdle, Consumer<Effect> effects, Consumer<Job> carried) {
+        this.carried = carried;
         patience = new ConnectPatience(connectTimeout);
         this.idleFor = (long) (serverIdle * IDLE_PART);
         this.effects = effects;
@@ -128,8 +132,15 @@
     private void carry(long now, ServerConnection connection, Job job) {
         connection.job = job;
         job.connection = connection;
-        effects.accept(job.isProbe() ? new AskLoad(connection.number)
-            : new Forward(connection.number, job.exchange.request, job.dueAt - now));
+        if (job.isProbe()) {
+            effects.accept(new AskLoad(connection.number));
+        } else if (job.exchange.flows) {
+            effects.accept(new ForwardFlow(connection.number, job.exchange.request, job.dueAt - now,
+                job.exchange.client));
+        } else {
+            effects.accept(new Forward(connection.number, job.exchange.request, job.dueAt - now));
+        }
+        carried.accept(job);
     }
 
     /** Ends a job that is not waited for any more: what carries it is closed, as the protocol says. */
@@ -164,14 +175,17 @@
             : Optional.empty();
     }
 
-    /** Whether what is written now is an attempt of a request. */
-    boolean written(long number) {
+    /** Notes that a job's last byte is written, and gives it back. */
+    Optional<Job> written(long number) {
+        Optional<Job> job = carriedBy(number);
+        job.ifPresent(each -> each.written = true);
+        return job;
+    }
+
+    /** The job that a connection carries. */
+    Optional<Job> carriedBy(long number) {
         ServerConnection connection = connections.get(number);
-        if (connection == null || connection.job == null) {
-            return false;
-        }
-        connection.job.written = true;
-        return !connection.job.isProbe();
+        return connection == null ? Optional.empty() : Optional.ofNullable(connection.job);
     }
 
     /** Frees a connection whose answer has come and gives back the job that it carried. */
--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -2,7 +2,10 @@
 package ottergauge.transport;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -11,6 +14,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -18,6 +22,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import ottergauge.protocol.Content;
 import ottergauge.protocol.Headers;
@@ -27,19 +32,27 @@
 import ottergauge.routing.Effect.Respond;
 import ottergauge.routing.Event;
 import ottergauge.routing.Event.AnswerWritten;
+import ottergauge.routing.Event.BodyMoved;
 import ottergauge.routing.Event.ClientClosed;
 import ottergauge.routing.Event.ClientRequest;
+import ottergauge.routing.Event.HeadBegan;
 import ottergauge.routing.Event.HealthAsked;
 import ottergauge.routing.Event.RequestBegan;
+import ottergauge.routing.Event.RequestEnded;
+import ottergauge.routing.Event.RequestFlows;
 import ottergauge.routing.Event.RequestRead;
 import ottergauge.routing.Event.RequestUnreadable;
 
 /** A client's connection: one request at a time, each reported once it has come whole and nothing with it. */
 final class ClientConnection extends Connection {
 
-    private enum Stage { HEAD, BODY, WHOLE, OPEN, UNREADABLE }
+    private enum Stage { HEAD, BODY, FLOWING, WHOLE, OPEN, UNREADABLE }
 
     private static final double MICROS = 1e6;
+    // Twice between two looks at what stands still.
+    private static final long TOLD_EVERY = TimeUnit.MILLISECONDS.toNanos(200);
+    // As long as a client may need to notice an answer while it writes.
+    private static final long LINGERS_MS = 1_000;
 
     private final long number;
     private final Framing.Requests decoder;
@@ -48,6 +61,14 @@
     private HttpRequest head;
     private RequestFields fields;
     private MessageBody body;
+    /** The body of a request too large to be kept, and the last part that is held until it came alone. */
+    private Flow flow;
+    private HttpContent last;
+    private long flowed;
+    private boolean closes;
+    private boolean headTold;
+    private long moved;
+    private long toldAt;
 
     ClientConnection(long number, Framing.Requests decoder, Consumer<Event> events) {
         super("client");
@@ -66,6 +87,8 @@
         }
         if (stage == Stage.BODY && part instanceof HttpContent content) {
             read(content);
+        } else if (stage == Stage.FLOWING && part instanceof HttpContent content) {
+            flow(content);
         }
     }
 
@@ -75,6 +98,7 @@
             return;
         }
         head = request;
+        closes = !HttpUtil.isKeepAlive(request);
         fields = null;
         String fault = Framing.fault(request);
         if (fault != null) {
@@ -87,6 +111,7 @@
                 context().writeAndFlush(answer(HttpResponseStatus.CONTINUE, Content.NONE));
             }
             stage = Stage.BODY;
+            moved = 0;
             body = new MessageBody(Headers.MOST_BODY);
             events.accept(new RequestBegan(number));
         }
@@ -123,7 +148,7 @@
         }
         if (!get && !HttpMethod.POST.equals(request.method())) {
             refuse(HttpResponseStatus.METHOD_NOT_ALLOWED, request.method().name());
-        } else if (HttpUtil.getContentLength(request, 0L) > Headers.MOST_BODY) {
+        } else if (HttpUtil.getContentLength(request, 0L) > Headers.MOST_FLOW) {
             // Read to its end, 60 MB that nobody wants would cost the node's other clients their time.
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
         }
@@ -133,17 +158,88 @@
         if (content.decoderResult().isFailure()) {
             refuse(HttpResponseStatus.BAD_REQUEST, String.valueOf(content.decoderResult().cause()));
         } else if (!body.take(content.content())) {
+            if (fields == null) {
+                refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+            } else {
+                beginFlow(content);
+            }
+        } else if (content instanceof LastHttpContent) {
+            stage = Stage.WHOLE;
+        } else {
+            moved(content.content().readableBytes());
+        }
+    }
+
+    // What is here by now is kept until a server is chosen; nothing more is read before.
+    private void beginFlow(HttpContent content) {
+        stage = Stage.FLOWING;
+        flow = new Flow(this);
+        byte[] first = body.bytes();
+        flowed = first.length;
+        flow.take(new DefaultHttpContent(Unpooled.wrappedBuffer(first)));
+        body = null;
+        Content type = new Content(head.headers().get(HttpHeaderNames.CONTENT_TYPE), Content.NONE.bytes());
+        events.accept(new RequestFlows(number,
+            new ClientRequest(fields, head.method().name(), head.uri(), type)));
+        if (stage == Stage.FLOWING) {
+            flow(content);
+        }
+    }
+
+    private void flow(HttpContent content) {
+        flowed += content.content().readableBytes();
+        if (content.decoderResult().isFailure()) {
+            refuse(HttpResponseStatus.BAD_REQUEST, String.valueOf(content.decoderResult().cause()));
+        } else if (flowed > Headers.MOST_FLOW) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
         } else if (content instanceof LastHttpContent) {
+            // With it the server begins: not before it is known that nothing came behind.
+            last = content.retain();
             stage = Stage.WHOLE;
+        } else {
+            flow.take(content);
+            moved(content.content().readableBytes());
+        }
+    }
+
+    // Told now and then, not with each part: a body may come byte by byte.
+    private void moved(long bytes) {
+        moved += bytes;
+        long now = System.nanoTime();
+        if (now - toldAt > TOLD_EVERY) {
+            toldAt = now;
+            events.accept(new BodyMoved(number, moved));
+            moved = 0;
+        }
+    }
+
+    /** Writes the body of the request that flows to a server's connection. */
+    void flowTo(Outbound server, ClientRequest request, long waitsMs) {
+        if (flow != null) {
+            long length = HttpUtil.getContentLength(head, -1L);
+            flow.on(server, server.open(ServerSide.head(request, waitsMs, server.address(), length)));
         }
     }
 
     /** A request goes on only when nothing has come behind it: what has would be read as another one. */
     @Override
     void taken() {
+        if (flow != null) {
+            flow.flush();
+        }
         if ((stage == Stage.WHOLE || stage == Stage.OPEN) && decoder.hasMore()) {
             refuse(HttpResponseStatus.BAD_REQUEST, "more came behind the request");
+        } else if (stage == Stage.HEAD) {
+            if (!headTold && decoder.hasMore()) {
+                headTold = true;
+                events.accept(new HeadBegan(number));
+            }
+        } else if (stage == Stage.WHOLE && flow != null) {
+            stage = Stage.OPEN;
+            events.accept(new RequestEnded(number));
+            flow.take(last);
+            flow.flush();
+            dropFlow();
         } else if (stage == Stage.WHOLE) {
             stage = Stage.OPEN;
             events.accept(fields == null
@@ -155,7 +251,19 @@
         }
     }
 
+    private void dropFlow() {
+        if (last != null) {
+            last.release();
+            last = null;
+        }
+        flow = null;
+    }
+
     private void refuse(HttpResponseStatus status, String why) {
+        if (flow != null) {
+            flow.drop();
+            dropFlow();
+        }
         stage = Stage.UNREADABLE;
         because(CloseReason.MALFORMED);
         events.accept(new RequestUnreadable(number, status.code(), why));
@@ -169,18 +277,74 @@
             headers.set(HttpHeaderNames.RETRY_AFTER,
                 String.format(Locale.ROOT, "%.3f", effect.retryAfter() / MICROS));
         }
-        if (effect.last()) {
+        boolean ends = effect.last() || closes;
+        if (ends) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         if (effect.content().type() != null) {
             headers.set(HttpHeaderNames.CONTENT_TYPE, effect.content().type());
         }
-        stage = effect.last() ? Stage.UNREADABLE : Stage.HEAD;
+        boolean half = flow != null;
+        if (half) {
+            flow.drop();
+            dropFlow();
+        }
         context().writeAndFlush(response).addListener(written -> {
-            events.accept(new AnswerWritten(number));
-            if (effect.last()) {
-                close(CloseReason.NOT_REUSABLE);
+            if (half && written.isSuccess()) {
+                linger();
             }
+            answered(ends, half);
+        });
+        next(ends);
+    }
+
+    private void next(boolean ends) {
+        stage = ends ? Stage.UNREADABLE : Stage.HEAD;
+        headTold = false;
+    }
+
+    private void answered(boolean ends, boolean lingers) {
+        events.accept(new AnswerWritten(number));
+        if (ends && !lingers) {
+            close(CloseReason.NOT_REUSABLE);
+        }
+    }
+
+    // Its client is still sending. Closed at once, the connection is reset, and the answer may be lost with
+    // it: the client reads it first, and what it sends meanwhile is passed over.
+    private void linger() {
+        because(CloseReason.NOT_REUSABLE);
+        if (context().channel() instanceof DuplexChannel both) {
+            both.shutdownOutput();
+        }
+        resume();
+        context().executor().schedule(() -> close(CloseReason.NOT_REUSABLE), LINGERS_MS,
+            TimeUnit.MILLISECONDS);
+    }
+
+    /** Begins to pass a server's answer on; what of it comes goes on as it comes. */
+    void passOn(Outbound server, boolean ends) {
+        boolean closing = ends || closes;
+        Outbound.Answer answer = server.flowing();
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(answer.status()));
+        Content content = new Content(answer.headers().get(HttpHeaderNames.CONTENT_TYPE), answer.body());
+        if (content.type() != null) {
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, content.type());
+        }
+        if (answer.length() >= 0) {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.length());
+        } else {
+            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        if (closing) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        context().write(response);
+        moved = 0;
+        server.flowTo(this, this::moved, written -> {
+            next(closing);
+            answered(closing, false);
         });
     }
 
@@ -191,6 +355,10 @@
 
     @Override
     void ended(CloseReason why) {
+        if (flow != null) {
+            flow.drop();
+            dropFlow();
+        }
         events.accept(new ClientClosed(number));
     }
 }
--- a/src/main/java/ottergauge/transport/ClientSide.java
+++ b/src/main/java/ottergauge/transport/ClientSide.java
@@ -12,7 +12,9 @@
 import org.slf4j.LoggerFactory;
 import ottergauge.protocol.Address;
 import ottergauge.routing.Effect.CloseClient;
+import ottergauge.routing.Effect.ForwardFlow;
 import ottergauge.routing.Effect.NotTaken;
+import ottergauge.routing.Effect.PassOn;
 import ottergauge.routing.Effect.Respond;
 import ottergauge.routing.Event;
 import ottergauge.routing.Event.ClientClosed;
@@ -71,6 +73,22 @@
         }
     }
 
+    /** Writes what comes of a client's request to a server as it comes. */
+    void forward(ForwardFlow effect, Outbound server) {
+        ClientConnection connection = connections.get(effect.client());
+        if (connection != null && server != null) {
+            connection.flowTo(server, effect.request(), ServerSide.millis(effect.waits()));
+        }
+    }
+
+    /** Passes a server's answer on to a client as it comes. */
+    void passOn(PassOn effect, Outbound server) {
+        ClientConnection connection = connections.get(effect.client());
+        if (connection != null && server != null) {
+            connection.passOn(server, effect.last());
+        }
+    }
+
     void close(CloseClient effect) {
         ClientConnection connection = connections.get(effect.client());
         if (connection != null) {
--- a/src/main/java/ottergauge/transport/Connection.java
+++ b/src/main/java/ottergauge/transport/Connection.java
@@ -3,6 +3,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
@@ -11,10 +12,15 @@
 /** An open connection that carries HTTP, and why it is going to end: the first reason given counts. */
 abstract class Connection extends ChannelInboundHandlerAdapter {
 
+    // How much waits to be written before the other side is not read any more, and from when it is again:
+    // this much of each flow is in memory.
+    static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+
     private final String side;
     private ChannelHandlerContext context;
     private String address;
     private CloseReason reason;
+    private Runnable whenTakes = () -> { };
 
     Connection(String side) {
         this.side = side;
@@ -46,6 +52,32 @@
         context.close();
     }
 
+    /** Reads nothing for now: what comes waits at the sender's. */
+    final void pause() {
+        context.channel().config().setAutoRead(false);
+    }
+
+    final void resume() {
+        context.channel().config().setAutoRead(true);
+    }
+
+    /** Whether it takes more at the moment than it still has to write. */
+    final boolean takes() {
+        return context.channel().isWritable();
+    }
+
+    final void whenTakes(Runnable handler) {
+        whenTakes = handler;
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (takes()) {
+            whenTakes.run();
+        }
+        ctx.fireChannelWritabilityChanged();
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
--- a/src/main/java/ottergauge/transport/Framing.java
+++ b/src/main/java/ottergauge/transport/Framing.java
@@ -16,7 +16,9 @@
  */
 final class Framing {
 
-    private static final HttpDecoderConfig CONFIG = new HttpDecoderConfig();
+    // A part as large as one read, so that a large body is not cut smaller than it came.
+    private static final int MOST_PART = 64 * 1024;
+    private static final HttpDecoderConfig CONFIG = new HttpDecoderConfig().setMaxChunkSize(MOST_PART);
 
     private Framing() {
     }
@@ -68,11 +70,27 @@
             super(CONFIG);
         }
 
+        private boolean inHeaders;
+
         // As strict about header lines as for requests. For answers Netty takes a line without a colon for a
-        // field: a head that could not be read was served to 33 clients in half a minute.
+        // field: a head that could not be read was served to 33 clients in half a minute. Only there: a
+        // status line may have no reason, and an answer without a length lasts until the close.
         @Override
         protected boolean isDecodingRequest() {
-            return true;
+            return inHeaders;
+        }
+
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) {
+            HttpMessage message = super.createMessage(initialLine);
+            inHeaders = true;
+            return message;
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            inHeaders = false;
+            return super.isContentAlwaysEmpty(message);
         }
 
         @Override
--- a/src/main/java/ottergauge/transport/Listener.java
+++ b/src/main/java/ottergauge/transport/Listener.java
@@ -37,7 +37,8 @@
                                  AcceptGate gate, Consumer<ChannelPipeline> adopt) {
         ServerBootstrap bootstrap = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, backlog).option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true).handler(gate)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Connection.WATER_MARK).handler(gate)
             .childHandler(new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel accepted) {
--- a/src/main/java/ottergauge/transport/MessageBody.java
+++ b/src/main/java/ottergauge/transport/MessageBody.java
@@ -8,29 +8,33 @@
 final class MessageBody {
 
     private static final byte[] NONE = {};
+    private static final int FIRST = 256;
 
     private final int most;
     private byte[] bytes = NONE;
+    private int length;
 
     MessageBody(int most) {
         this.most = most;
     }
 
-    /** Takes a part; false if the body would be larger than it may be. */
+    /** Takes a part; false, and nothing is taken, if the body would be larger than it may be. */
     boolean take(ByteBuf part) {
-        int length = part.readableBytes();
-        if (bytes.length + length > most) {
+        int more = part.readableBytes();
+        if (length + more > most) {
             return false;
         }
-        if (length > 0) {
-            int from = bytes.length;
-            bytes = Arrays.copyOf(bytes, from + length);
-            part.getBytes(part.readerIndex(), bytes, from, length);
+        if (length + more > bytes.length) {
+            // Twice as much each time: a body that comes byte by byte is not copied with each of them.
+            int wanted = Math.max(length + more, Math.max(FIRST, 2 * length));
+            bytes = Arrays.copyOf(bytes, Math.min(most, wanted));
         }
+        part.getBytes(part.readerIndex(), bytes, length, more);
+        length += more;
         return true;
     }
 
     byte[] bytes() {
-        return bytes;
+        return bytes.length == length ? bytes : Arrays.copyOf(bytes, length);
     }
 }
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -162,7 +162,11 @@
             perform(effect);
         } catch (RuntimeException e) {
             LOG.error("{} could not be carried out", effect, e);
-            if (effect instanceof Effect.Forward f) {
+            if (effect instanceof Effect.ForwardFlow f) {
+                servers.close(new Effect.CloseServer(f.connection(), CloseReason.MALFORMED));
+            } else if (effect instanceof Effect.PassOn p) {
+                clients.close(new Effect.CloseClient(p.client(), CloseReason.MALFORMED));
+            } else if (effect instanceof Effect.Forward f) {
                 servers.close(new Effect.CloseServer(f.connection(), CloseReason.MALFORMED));
             } else if (effect instanceof Effect.Respond r) {
                 clients.close(new Effect.CloseClient(r.client(), CloseReason.MALFORMED));
@@ -175,6 +179,12 @@
             clients.respond(e);
         } else if (effect instanceof Effect.Forward e) {
             servers.forward(e);
+        } else if (effect instanceof Effect.ForwardFlow e) {
+            clients.forward(e, servers.connection(e.connection()));
+        } else if (effect instanceof Effect.FlowNow e) {
+            servers.flowNow(e);
+        } else if (effect instanceof Effect.PassOn e) {
+            clients.passOn(e, servers.connection(e.connection()));
         } else if (effect instanceof Effect.AskLoad e) {
             servers.askLoad(e);
         } else if (effect instanceof Effect.StartTimer e) {
--- a/src/main/java/ottergauge/transport/Rehearsal.java
+++ b/src/main/java/ottergauge/transport/Rehearsal.java
@@ -73,7 +73,8 @@
         }
         router = new Router(new NodeConfig(config.name(), config.listen(), config.discovery(), config.seed(),
             config.sockets(), new HostList(0, true, hosts), config.settings(), config.zones(), config.kinds(),
-            config.connectTimeout(), config.connectionIdle(), config.askWithin(), null), this::carryOut);
+            config.connectTimeout(), config.connectionIdle(), config.askWithin(), null,
+            config.memoryMb()), this::carryOut);
     }
 
     /** How many requests were made, and how many of them were served. */
--- a/src/main/java/ottergauge/transport/ServerSide.java
+++ b/src/main/java/ottergauge/transport/ServerSide.java
@@ -3,10 +3,13 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vertx.core.Future;
 import java.nio.charset.StandardCharsets;
@@ -22,8 +25,12 @@
 import ottergauge.routing.Effect.AskLoad;
 import ottergauge.routing.Effect.CloseServer;
 import ottergauge.routing.Effect.Connect;
+import ottergauge.routing.Effect.FlowNow;
 import ottergauge.routing.Effect.Forward;
 import ottergauge.routing.Event;
+import ottergauge.routing.Event.AnswerEnded;
+import ottergauge.routing.Event.AnswerFlows;
+import ottergauge.routing.Event.AnswerOpen;
 import ottergauge.routing.Event.AnswerRead;
 import ottergauge.routing.Event.ClientRequest;
 import ottergauge.routing.Event.ConnectFailed;
@@ -56,6 +63,12 @@
         long number = effect.connection();
         connector.connect(effect.address(), millis(effect.timeout())).onComplete(connection -> {
             connections.put(number, connection);
+            connection.whenFlows(() -> events.accept(new AnswerOpen(number)),
+                answer -> events.accept(new AnswerFlows(number, read(answer, false),
+                    connection.microsSinceHead())),
+                reusable -> events.accept(new AnswerEnded(number, reusable)),
+                () -> events.accept(new RequestWritten(number)),
+                answer -> events.accept(new AnswerRead(number, read(answer, false))));
             connection.whenEnded(why -> {
                 connections.remove(number);
                 events.accept(new ServerClosed(number, why == CloseReason.MALFORMED));
@@ -66,24 +79,42 @@
 
     void forward(Forward effect) {
         ClientRequest request = effect.request();
-        RequestFields fields = request.fields();
         byte[] body = request.content().bytes();
         HttpMethod method = HttpMethod.valueOf(request.method());
         FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, request.uri(),
             Unpooled.wrappedBuffer(body));
-        HttpHeaders headers = message.headers().set(Headers.TRACE_ID, fields.traceId())
+        set(message.headers(), request, millis(effect.waits()));
+        if (body.length > 0 || !HttpMethod.GET.equals(method)) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
+        exchange(effect.connection(), message, false);
+    }
+
+    /** The head of a request whose body flows; a length that is not known is negative. */
+    static HttpRequest head(ClientRequest request, long waitsMs, String host, long length) {
+        HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method()),
+            request.uri());
+        set(head.headers(), request, waitsMs);
+        head.headers().set(HttpHeaderNames.HOST, host);
+        if (length >= 0) {
+            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        } else {
+            head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        return head;
+    }
+
+    private static void set(HttpHeaders headers, ClientRequest request, long waitsMs) {
+        RequestFields fields = request.fields();
+        headers.set(Headers.TRACE_ID, fields.traceId())
             .set(Headers.REQUEST_CLASS, fields.requestClass())
-            .set(Headers.EXPIRES_IN_MS, Long.toString(millis(effect.waits())));
+            .set(Headers.EXPIRES_IN_MS, Long.toString(waitsMs));
         if (fields.idempotencyKey() != null) {
             headers.set(Headers.IDEMPOTENCY_KEY, fields.idempotencyKey());
         }
         if (request.content().type() != null) {
             headers.set(HttpHeaderNames.CONTENT_TYPE, request.content().type());
         }
-        if (body.length > 0 || !HttpMethod.GET.equals(method)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        }
-        exchange(effect.connection(), message, false);
     }
 
     void askLoad(AskLoad effect) {
@@ -111,6 +142,17 @@
             answer.reusable());
     }
 
+    void flowNow(FlowNow effect) {
+        Outbound connection = connections.get(effect.connection());
+        if (connection != null) {
+            connection.flowNow();
+        }
+    }
+
+    Outbound connection(long number) {
+        return connections.get(number);
+    }
+
     void close(CloseServer effect) {
         Outbound connection = connections.get(effect.connection());
         if (connection != null) {
@@ -118,7 +160,7 @@
         }
     }
 
-    private static long millis(long micros) {
+    static long millis(long micros) {
         return Math.max(1, micros / 1000);
     }
 }
--- /dev/null
+++ b/src/test/java/ottergauge/program/FlowIT.java
@@ -0,0 +1,393 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static ottergauge.protocol.TestConfig.host;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.zip.CRC32;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import ottergauge.program.RunningNode.Client;
+import ottergauge.protocol.TestConfig;
+
+/** Large bodies, slow peers and every form of HTTP/1.1, before and behind a real process. */
+@Timeout(120)
+class FlowIT {
+
+    private static final String NOWHERE = "127.0.0.1:1";
+    private static final int LARGE = 8 << 20;
+
+    /** What a server does once it has read a head; the body, if any, is still to be read. */
+    private interface Behaviour {
+        void answer(String head, InputStream in, OutputStream out) throws IOException, InterruptedException;
+    }
+
+    @TempDir
+    private Path folder;
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+    }
+
+    private RunningNode nodeBefore(Behaviour behaviour) throws Exception {
+        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        open.add(listener);
+        thread(() -> {
+            while (!listener.isClosed()) {
+                Socket connection = listener.accept();
+                thread(() -> serve(connection, behaviour));
+            }
+        });
+        RunningNode node = RunningNode.ready(folder, new TestConfig().knows(host("s-1",
+            "127.0.0.1:" + listener.getLocalPort(), "in_service")), NOWHERE);
+        open.add(0, node);
+        return node;
+    }
+
+    private void serve(Socket connection, Behaviour behaviour) throws Exception {
+        try (connection) {
+            InputStream in = new BufferedInputStream(connection.getInputStream());
+            for (String head = head(in); head != null; head = head(in)) {
+                seen.add(head);
+                behaviour.answer(head, in, connection.getOutputStream());
+                if (head.contains("do=close")) {
+                    return;
+                }
+                if (head.contains("do=reset")) {
+                    connection.setSoLinger(true, 0);
+                    return;
+                }
+            }
+        }
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static void thread(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // The other side has gone, or the test is over.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** A head as it came; null at the end. */
+    private static String head(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        int last = 0;
+        for (int c = in.read(); c >= 0; c = in.read()) {
+            head.write(c);
+            last = last << 8 | c;
+            if (last == 0x0d0a0d0a) {
+                return head.toString(StandardCharsets.ISO_8859_1);
+            }
+        }
+        return null;
+    }
+
+    /** Reads the body that a head tells of; null if it was cut short. */
+    private static byte[] body(String head, InputStream in) throws IOException {
+        if (!head.toLowerCase().contains("transfer-encoding: chunked")) {
+            int at = head.toLowerCase().indexOf("content-length:");
+            String field = at < 0 ? "0" : head.substring(at + 15, head.indexOf('\r', at)).trim();
+            int length = Integer.parseInt(field);
+            byte[] body = in.readNBytes(length);
+            return body.length < length ? null : body;
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        while (true) {
+            String line = line(in);
+            if (line == null) {
+                return null;
+            }
+            int size = Integer.parseInt(line.trim(), 16);
+            byte[] part = in.readNBytes(size);
+            body.write(part);
+            if (part.length < size || line(in) == null) {
+                return null;
+            }
+            if (size == 0) {
+                return body.toByteArray();
+            }
+        }
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int c = in.read(); c >= 0; c = in.read()) {
+            if (c == '\n') {
+                return line.toString();
+            }
+            line.append((char) c);
+        }
+        return null;
+    }
+
+    private static byte[] bytes(int length) {
+        byte[] bytes = new byte[length];
+        new Random(length).nextBytes(bytes);
+        return bytes;
+    }
+
+    private static String sum(byte[] bytes) {
+        CRC32 sum = new CRC32();
+        sum.update(bytes);
+        return bytes.length + ":" + sum.getValue();
+    }
+
+    private static byte[] text(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static String ask(String wish, String fields) {
+        return Client.request("grant", wish, "").replace("Content-Length: 0\r\n", fields);
+    }
+
+    private static void write(Socket socket, String head, byte[]... parts) throws IOException {
+        socket.getOutputStream().write(text(head));
+        for (byte[] part : parts) {
+            socket.getOutputStream().write(part);
+        }
+    }
+
+    // A server that tells what came, and answers with as much as it was asked for.
+    private static final Behaviour ECHO = (head, in, out) -> {
+        byte[] body = body(head, in);
+        String told = sum(body);
+        out.write(text("HTTP/1.1 200 OK\r\nContent-Length: " + told.length() + "\r\n\r\n" + told));
+    };
+
+    @ParameterizedTest
+    @ValueSource(strings = {"length", "chunked"})
+    void aLargeRequestComesThroughUnchanged(String framing) throws Exception {
+        RunningNode node = nodeBefore(ECHO);
+        byte[] body = bytes(LARGE);
+        try (Client client = node.client()) {
+            if ("length".equals(framing)) {
+                write(client.socket(), ask("ok", "Content-Length: " + LARGE + "\r\n"), body);
+            } else {
+                write(client.socket(), ask("ok", "Transfer-Encoding: CHUNKED\r\n"), text(
+                    Integer.toHexString(LARGE) + ";name=value\r\n"), body,
+                    text("\r\n0\r\nTrailer: x\r\n\r\n"));
+            }
+            HttpMessage answer = client.read();
+            assertEquals(200, answer.status());
+            assertEquals(sum(body), answer.body());
+            // The connection and what lies behind it go on.
+            assertEquals(200, client.ask(Client.request("grant", "ok", "small")).status());
+        }
+        assertEquals("length".equals(framing), seen.poll(5, TimeUnit.SECONDS).contains("ontent-"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"ok", "chunked", "close"})
+    void aLargeAnswerComesThroughUnchangedHoweverSlowlyItIsRead(String wish) throws Exception {
+        byte[] body = bytes(LARGE);
+        RunningNode node = nodeBefore((head, in, out) -> {
+            body(head, in);
+            out.write(text("HTTP/1.1 200 \r\n" + switch (wish) {
+                case "chunked" -> "transfer-encoding: Chunked\r\n\r\n" + Integer.toHexString(LARGE) + "\r\n";
+                case "close" -> "\r\n";
+                default -> "CONTENT-LENGTH: " + LARGE + "\r\n\r\n";
+            }));
+            out.write(body);
+            if ("chunked".equals(wish)) {
+                out.write(text("\r\n0\r\n\r\n"));
+            }
+        });
+        try (Client client = node.client()) {
+            write(client.socket(), ask(wish, "Content-Length: 0\r\n"));
+            InputStream in = new BufferedInputStream(client.socket().getInputStream(), 1 << 14);
+            String head = head(in);
+            // Far over the deadline of 0.9 s: once begun, an answer is the client's.
+            in.mark(1);
+            assertTrue(in.read() >= 0);
+            in.reset();
+            Thread.sleep(1_500);
+            assertEquals(sum(body), sum(body(head, in)));
+        }
+    }
+
+    /** The node's memory is bounded: a dozen answers of 32 MB that nobody reads for a while fit in it. */
+    @Test
+    void answersThatAreNotReadWaitAtTheServer() throws Exception {
+        int length = 32 << 20;
+        byte[] body = bytes(1 << 20);
+        RunningNode node = nodeBefore((head, in, out) -> {
+            body(head, in);
+            out.write(text("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n"));
+            for (int i = 0; i < length / body.length; i++) {
+                out.write(body);
+            }
+        });
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            Client client = node.client();
+            open.add(0, client);
+            clients.add(client);
+            write(client.socket(), ask("ok", "Content-Length: 0\r\n"));
+        }
+        for (Client client : clients) {
+            InputStream in = new BufferedInputStream(client.socket().getInputStream(), 1 << 16);
+            String head = head(in);
+            assertTrue(head.startsWith("HTTP/1.1 200"), head);
+            long left = length;
+            byte[] part = new byte[1 << 16];
+            for (int n = in.read(part); n > 0; n = left > 0 ? in.read(part) : 0) {
+                left -= n;
+            }
+            assertEquals(0, left);
+        }
+    }
+
+    /** Cut off by its server, an answer ends so that its client can tell. */
+    @ParameterizedTest
+    @ValueSource(strings = {"close", "reset"})
+    void anAnswerThatBreaksOffIsNoWholeAnswer(String wish) throws Exception {
+        RunningNode node = nodeBefore((head, in, out) -> {
+            body(head, in);
+            out.write(text("HTTP/1.1 200 OK\r\nContent-Length: " + LARGE + "\r\n\r\n"));
+            out.write(bytes(1 << 18));
+        });
+        try (Client client = node.client()) {
+            write(client.socket(), ask(wish, "Content-Length: 0\r\n"));
+            InputStream in = client.socket().getInputStream();
+            String head = head(in);
+            assertTrue(head.contains("ength: " + LARGE), head);
+            assertNull(wholeOrNull(head, in));
+        }
+    }
+
+    private static byte[] wholeOrNull(String head, InputStream in) {
+        try {
+            return body(head, in);
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    /** Without a length an answer ends with its connection, but not with a reset: that one failed. */
+    @ParameterizedTest
+    @ValueSource(strings = {"close", "reset"})
+    void aShortAnswerWithoutALengthEndsWithTheClose(String wish) throws Exception {
+        RunningNode node = nodeBefore((head, in, out) -> {
+            body(head, in);
+            out.write(text("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200\r\n\r\nhello"));
+            if ("reset".equals(wish)) {
+                // The bytes are to arrive before the reset.
+                Thread.sleep(100);
+            }
+        });
+        try (Client client = node.client()) {
+            HttpMessage answer = client.ask(ask(wish, "Content-Length: 0\r\n"));
+            assertEquals("close".equals(wish) ? 200 : 502, answer.status());
+            assertEquals("close".equals(wish) ? "hello" : "", answer.body());
+        }
+    }
+
+    /** A head may take two seconds, and its client is served; half a head alone ends the connection. */
+    @Test
+    void aSlowHeadIsServedAndHalfAHeadIsNot() throws Exception {
+        RunningNode node = nodeBefore(ECHO);
+        String request = ask("ok", "Content-Length: 0\r\n");
+        long from = System.nanoTime();
+        try (Client slow = node.client(); Client half = node.client()) {
+            half.write("POST /api HT");
+            int steps = 20;
+            for (int i = 0; i < steps; i++) {
+                int begin = request.length() * i / steps;
+                slow.write(request.substring(begin, request.length() * (i + 1) / steps));
+                Thread.sleep(100);
+            }
+            assertEquals(200, slow.read().status());
+            assertTrue(half.atEnd());
+            assertTrue(System.nanoTime() - from < TimeUnit.SECONDS.toNanos(3), "within 3 s of connecting");
+        }
+    }
+
+    /** The client's time runs from its last byte: a body of two seconds is served though it waits 0.9 s. */
+    @Test
+    void aBodyThatComesSlowlyIsServed() throws Exception {
+        RunningNode node = nodeBefore(ECHO);
+        byte[] body = bytes(160 * 1024);
+        try (Client client = node.client()) {
+            write(client.socket(), ask("ok",
+                "Content-Length: " + body.length + "\r\nExpect: 100-continue\r\n"));
+            assertTrue(head(client.socket().getInputStream()).startsWith("HTTP/1.1 100"));
+            int steps = 25;
+            for (int i = 0; i < steps; i++) {
+                int begin = body.length * i / steps;
+                client.socket().getOutputStream().write(body, begin, body.length * (i + 1) / steps - begin);
+                Thread.sleep(100);
+            }
+            HttpMessage answer = client.read();
+            assertEquals(200, answer.status());
+            assertEquals(sum(body), answer.body());
+        }
+    }
+
+    /** Announced longer than it comes, a body that stands still ends; the server never sees it whole. */
+    @Test
+    void aBodyThatStandsStillEnds() throws Exception {
+        RunningNode node = nodeBefore(ECHO);
+        try (Client client = node.client()) {
+            long from = System.nanoTime();
+            write(client.socket(), ask("ok", "Content-Length: 200000\r\n"), bytes(100_000));
+            assertTrue(client.atEnd());
+            assertTrue(System.nanoTime() - from < TimeUnit.SECONDS.toNanos(3), "within 3 s of connecting");
+        }
+    }
+
+    @Test
+    void aBodyPastTheMostIsRefusedBeforeItIsRead() throws Exception {
+        RunningNode node = nodeBefore(ECHO);
+        try (Client client = node.client()) {
+            assertEquals(413, client.ask(ask("ok", "Content-Length: 60000000\r\n")).status());
+        }
+    }
+
+    /** Asked to by the client, the node ends the connection with its answer and says so. */
+    @Test
+    void aListInConnectionIsRead() throws Exception {
+        RunningNode node = nodeBefore(ECHO);
+        try (Client client = node.client()) {
+            HttpMessage answer = client.ask(ask("ok", "Content-Length: 0\r\nCONNECTION: x-mine, Close\r\n"));
+            assertEquals(200, answer.status());
+            assertEquals("close", answer.headers().get("connection"));
+            assertTrue(client.atEnd());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/routing/FlowsTest.java
@@ -0,0 +1,177 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static ottergauge.protocol.TestConfig.host;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import ottergauge.DecisionApi.LoadReport;
+import ottergauge.protocol.Content;
+import ottergauge.protocol.TestConfig;
+import ottergauge.routing.Effect.CloseClient;
+import ottergauge.routing.Effect.CloseServer;
+import ottergauge.routing.Effect.Connect;
+import ottergauge.routing.Effect.ForwardFlow;
+import ottergauge.routing.Effect.PassOn;
+import ottergauge.routing.Effect.Respond;
+import ottergauge.routing.Event.ServerAnswer;
+
+/** Bodies that flow, with no socket. */
+class FlowsTest {
+
+    private final RouterDriver node = new RouterDriver(new TestConfig()
+        .knows(host("s-1", "10.1.0.1:3000", "in_service"), host("s-2", "10.1.0.2:3000", "in_service")));
+    private int lastId;
+
+    private long flows(String requestClass, long expiresInMs) {
+        long client = node.client();
+        node.tell(new Event.RequestBegan(client));
+        node.tell(new Event.RequestFlows(client,
+            RouterDriver.ask(requestClass, "flow-" + ++lastId, expiresInMs)));
+        return client;
+    }
+
+    private ForwardFlow connected() {
+        node.tell(new Event.ServerConnected(node.expect(Connect.class).connection()));
+        return node.expect(ForwardFlow.class);
+    }
+
+    private static Event answerFlows(long connection) {
+        return new Event.AnswerFlows(connection,
+            new ServerAnswer(200, false, LoadReport.NONE, Content.NONE, false), 0);
+    }
+
+    /** Before its last byte is written nothing can have run, and there is nothing left to send again. */
+    @ParameterizedTest
+    @CsvSource({"grant,false,503", "pay,false,503", "grant,true,502", "pay,true,502"})
+    void aBreakIsJudgedByWhetherTheLastByteWasWritten(String requestClass, boolean whole, int status) {
+        long client = flows(requestClass, 1000);
+        ForwardFlow forward = connected();
+        assertEquals(client, forward.client());
+        if (whole) {
+            node.tell(new Event.RequestEnded(client));
+            node.tell(new Event.RequestWritten(forward.connection()));
+        }
+        node.tell(new Event.ServerClosed(forward.connection(), false));
+        assertEquals(status, node.status(client));
+        node.expectNo(Connect.class);
+    }
+
+    /** Until a server has a byte of it, a request that flows goes elsewhere like any other. */
+    @Test
+    void aRefusedConnectionIsNoLoss() {
+        flows("grant", 1000);
+        node.refuseNext();
+        connected();
+    }
+
+    /** Its time runs from its last byte: counted from the first, all that comes slowly is given up. */
+    @Test
+    void timeRunsFromTheLastByte() {
+        long client = flows("grant", 900);
+        ForwardFlow forward = connected();
+        for (int i = 0; i < 50; i++) {
+            node.tell(new Event.BodyMoved(client, 64_000));
+            node.pass(100);
+        }
+        node.expectNo(Respond.class);
+        node.expectNo(CloseServer.class);
+        node.tell(new Event.RequestEnded(client));
+        node.tell(new Event.RequestWritten(forward.connection()));
+        node.pass(500);
+        node.expectNo(Respond.class);
+        node.pass(500);
+        assertEquals(502, node.status(client));
+    }
+
+    /** What trickles or stands still ends, and gives back the server's connection. */
+    @ParameterizedTest
+    @CsvSource({"0,2900", "100,4000"})
+    void aBodyThatDoesNotGetOnEnds(long bytes, long within) {
+        long client = flows("grant", 900);
+        ForwardFlow forward = connected();
+        for (int passed = 0; passed < within; passed += 100) {
+            if (bytes > 0) {
+                node.tell(new Event.BodyMoved(client, bytes));
+            }
+            node.pass(100);
+        }
+        CloseClient closed = node.expect(CloseClient.class);
+        assertEquals(new CloseClient(client, CloseReason.SLOW_REQUEST), closed);
+        node.tell(new Event.ClientClosed(client));
+        assertEquals(forward.connection(), node.expect(CloseServer.class).connection());
+    }
+
+    /** Begun, an answer is its client's: no deadline cuts it, and the connection is kept after it. */
+    @Test
+    void noDeadlineCutsAnAnswerThatFlows() {
+        RouterDriver node = new RouterDriver(new TestConfig()
+            .knows(host("s-1", "10.1.0.1:3000", "in_service")));
+        Effect.Forward forward = node.connectToNew("grant");
+        node.written(forward);
+        node.tell(answerFlows(forward.connection()));
+        PassOn passes = node.expect(PassOn.class);
+        for (int i = 0; i < 100; i++) {
+            node.tell(new Event.BodyMoved(passes.client(), 6_000));
+            node.pass(100);
+        }
+        node.expectNo(CloseClient.class);
+        node.expectNo(CloseServer.class);
+        node.tell(new Event.AnswerEnded(forward.connection(), true));
+        node.tell(new Event.AnswerWritten(passes.client()));
+        node.sendAgain("grant");
+    }
+
+    @Test
+    void anAnswerThatItsServerCutsIsCutForItsClient() {
+        Effect.Forward forward = node.connectToNew("grant");
+        node.written(forward);
+        node.tell(answerFlows(forward.connection()));
+        long client = node.expect(PassOn.class).client();
+        node.tell(new Event.ServerClosed(forward.connection(), false));
+        assertEquals(new CloseClient(client, CloseReason.CUT_SHORT), node.expect(CloseClient.class));
+        node.expectNo(Respond.class);
+    }
+
+    @Test
+    void anAnswerWhoseClientHasGoneEndsAtTheServer() {
+        Effect.Forward forward = node.connectToNew("grant");
+        node.written(forward);
+        node.tell(answerFlows(forward.connection()));
+        node.tell(new Event.ClientClosed(node.expect(PassOn.class).client()));
+        assertEquals(new CloseServer(forward.connection(), CloseReason.CLIENT_GONE),
+            node.expect(CloseServer.class));
+    }
+
+    /** An answer that does not tell its length flows before its time is up: its first bytes are in time. */
+    @Test
+    void anOpenEndedAnswerFlowsBeforeItsTimeIsUp() {
+        Effect.Forward forward = node.connectToNew("grant");
+        node.written(forward);
+        node.pass(200);
+        node.tell(new Event.AnswerOpen(forward.connection()));
+        node.expectNo(Effect.FlowNow.class);
+        node.pass(400);
+        assertEquals(forward.connection(), node.expect(Effect.FlowNow.class).connection());
+    }
+
+    /** All flows together are bounded by the memory that there is; what is over that is refused at once. */
+    @Test
+    void requestsThatFlowAreBounded() {
+        int taken = 0;
+        boolean refused = false;
+        while (!refused && taken < 10_000) {
+            long client = flows("grant", 900);
+            taken++;
+            refused = node.has(Respond.class);
+            if (!refused) {
+                connected();
+                node.tell(new Event.BodyMoved(client, 64_000));
+            }
+        }
+        assertTrue(taken > 100 && taken <= 192 * 2, "taken: " + taken);
+    }
+}
--- a/src/test/java/ottergauge/routing/RouterDriver.java
+++ b/src/test/java/ottergauge/routing/RouterDriver.java
@@ -77,6 +77,10 @@
         return fail("no " + kind.getSimpleName() + " in " + effects);
     }
 
+    boolean has(Class<? extends Effect> kind) {
+        return effects.stream().anyMatch(kind::isInstance);
+    }
+
     void expectNo(Class<? extends Effect> kind) {
         assertEquals(List.of(), effects.stream().filter(kind::isInstance).toList());
     }
