--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -77,6 +77,9 @@
     /** The node has been given a new configuration. */
     record Reconfigured(NodeConfig config) implements Event { }
 
+    /** The node takes clients from now on. */
+    record Serving() implements Event { }
+
     /** An operator's call at the door. */
     record OperatorAsked(long caller, OperatorCall call) implements Event { }
 
@@ -85,8 +88,8 @@
 
     record TimerFired(Timer timer) implements Event { }
 
-    /** Whether another process of this node lives beside this one. */
-    record CompanySeen(boolean accompanied) implements Event { }
+    /** Whether another process of this node lives beside this one, and how many connections it has open. */
+    record CompanySeen(boolean accompanied, int connections) implements Event { }
 
     /** The node has been told to stop; {@code succeeded}: another process of it takes its clients. */
     record StopAsked(boolean succeeded) implements Event { }
--- a/src/main/java/ottergauge/routing/Operators.java
+++ b/src/main/java/ottergauge/routing/Operators.java
@@ -35,9 +35,9 @@
         this.effects = effects;
     }
 
-    void asked(long now, boolean stopping, long caller, OperatorCall call) {
+    void asked(long now, boolean serving, long caller, OperatorCall call) {
         if (call instanceof OperatorCall.Health) {
-            tell(caller, stopping ? UNAVAILABLE : OK, stopping ? "stopping\n" : "serving\n");
+            tell(caller, serving ? OK : UNAVAILABLE, serving ? "serving\n" : "starting or stopping\n");
         } else if (call instanceof OperatorCall.Stats) {
             int unavailable = (int) roster.names().stream()
                 .filter(name -> standings.apply(name) != Standing.USED).count();
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -66,6 +66,8 @@
     private static final long TIMERS_SPREAD = 1_000;
     // Clients have this part of the sockets at most, so that there are always some for what they ask.
     private static final double CLIENT_PART = 2.0 / 3;
+    // Of all descriptors: what another process of the node may open between two looks at it.
+    private static final double GROWTH_PART = 0.25;
     // Often enough that what is closed after 2 s is closed well within 3 s.
     private static final long SWEEP_EVERY = 250_000;
     // New connections go on coming for up to 0.4 s after the node is told to stop; 0.1 s for late ones.
@@ -95,10 +97,12 @@
     private final Deque<DecisionApi.Action> decided = new ArrayDeque<>();
     private int descriptors;
     private boolean accompanied;
+    private int othersConnections;
     private int sockets;
     private long now;
     private long lastExchange;
     private long lastJob;
+    private boolean serving;
     private boolean stopping;
     private boolean frontQuiet;
     private boolean exiting;
@@ -191,11 +195,14 @@
         } else if (event instanceof Event.RequestUnreadable e) {
             unreadable(e);
         } else if (event instanceof Event.OperatorAsked e) {
-            operators.asked(now, stopping, e.caller(), e.call());
+            operators.asked(now, serving && !stopping, e.caller(), e.call());
+        } else if (event instanceof Event.Serving) {
+            serving = true;
         } else if (event instanceof Event.HeldRead e) {
             operators.heldRead(now, e.since());
         } else if (event instanceof Event.CompanySeen e) {
             accompanied = e.accompanied();
+            othersConnections = e.connections();
             limitSockets(descriptors);
         } else if (event instanceof Event.StopAsked e) {
             stop(e.succeeded());
@@ -302,6 +309,11 @@
         return Math.max(2, config.memoryMb() * FLOWS_A_MB / (accompanied ? 2 : 1));
     }
 
+    /** The connections that are open, of clients and to servers. */
+    public int connections() {
+        return clients.open() + upstreams.open();
+    }
+
     private void passed(Exchange exchange) {
         exchange.passing = null;
         flowing.remove(exchange);
@@ -522,11 +534,13 @@
 
     // ---- Sockets ------------------------------------------------------------------------------------
 
-    // Two processes of a node have its descriptors together, and may both need their part at once.
+    // Two processes of a node have its descriptors together.
     private void limitSockets(int most) {
         descriptors = most;
-        sockets = Math.max(1, (accompanied ? most / 2 : most) - RESERVE
-            - (config.management() == null ? 0 : DOOR_RESERVE));
+        int free = most - RESERVE - (config.management() == null ? 0 : DOOR_RESERVE);
+        // What the other one does not use, less what it may take before it is looked at again.
+        int beside = Math.max(free / 2, (int) (free * (1 - GROWTH_PART)) - othersConnections);
+        sockets = Math.max(1, accompanied ? beside : free);
         effects.accept(new AcceptUpTo(mostClients() + ACCEPTED_AT_ONCE));
     }
 
@@ -624,7 +638,7 @@
                 long longest = config.settings().classes().stream().mapToLong(RequestClass::deadline).max()
                     .orElse(0);
                 lastAnswer = now + longest + ANSWERED_AFTER;
-                effects.accept(new StartTimer(longest + ANSWERED_AFTER - LAST_REQUEST,
+                effects.accept(new StartTimer(longest + ANSWERED_AFTER - Math.min(LAST_REQUEST, longest),
                     new Timer.FrontQuiet()));
             } else {
                 effects.accept(new StartTimer(FRONT_QUIET, new Timer.FrontQuiet()));
--- a/src/main/java/ottergauge/transport/ConnectionLog.java
+++ b/src/main/java/ottergauge/transport/ConnectionLog.java
@@ -10,10 +10,15 @@
 
     private static final Logger LOG = LoggerFactory.getLogger("ottergauge.connection");
 
+    /** The side of connections that the node has with itself. */
+    static final String UNTOLD = "itself";
+
     private ConnectionLog() {
     }
 
     static void ended(String side, Object peer, CloseReason reason) {
-        LOG.info("ended side={} peer={} code={}", side, peer, reason);
+        if (!UNTOLD.equals(side)) {
+            LOG.info("ended side={} peer={} code={}", side, peer, reason);
+        }
     }
 }
--- a/src/main/java/ottergauge/transport/Door.java
+++ b/src/main/java/ottergauge/transport/Door.java
@@ -37,6 +37,7 @@
     private final Map<Long, Long> since = new LinkedHashMap<>();
     private long lastNumber;
     private boolean makingRoom;
+    private String side = ConnectionLog.UNTOLD;
 
     Door(EventLoop loop, Consumer<Event> events) {
         this.loop = loop;
@@ -48,9 +49,14 @@
         return Listener.open(loop, address, BACKLOG, false, gate, this::adopt);
     }
 
-    void adopt(ChannelPipeline pipeline) {
+    /** The node takes clients: from now on it is operators who call. */
+    void opened() {
+        side = "operator";
+    }
+
+    private void adopt(ChannelPipeline pipeline) {
         long number = ++lastNumber;
-        DoorConnection connection = new DoorConnection((from, call) -> asked(number, call), () -> {
+        DoorConnection connection = new DoorConnection(side, (from, call) -> asked(number, call), () -> {
             open.remove(number);
             since.remove(number);
         });
--- a/src/main/java/ottergauge/transport/DoorConnection.java
+++ b/src/main/java/ottergauge/transport/DoorConnection.java
@@ -25,6 +25,7 @@
 
     // Calls have no body; what a client sends along unasked is read past up to here.
     private static final int MOST_BODY = 4096;
+    static final String HEALTH = "/healthcheck";
     private static final String SERVERS = "/servers/";
 
     private final BiConsumer<DoorConnection, OperatorCall> asked;
@@ -33,8 +34,8 @@
     private int body;
     private boolean answered;
 
-    DoorConnection(BiConsumer<DoorConnection, OperatorCall> asked, Runnable whenEnded) {
-        super("operator");
+    DoorConnection(String side, BiConsumer<DoorConnection, OperatorCall> asked, Runnable whenEnded) {
+        super(side);
         this.asked = asked;
         this.whenEnded = whenEnded;
     }
@@ -81,7 +82,7 @@
     private void call() {
         String path = head.uri().replaceFirst("\\?.*", "");
         OperatorCall get = switch (path) {
-            case "/healthcheck" -> new OperatorCall.Health();
+            case HEALTH -> new OperatorCall.Health();
             case "/stats" -> new OperatorCall.Stats();
             case "/servers" -> new OperatorCall.Servers();
             default -> null;
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.transport;
 
-import io.netty.channel.EventLoop;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -33,6 +32,7 @@
     private final AcceptGate gate = new AcceptGate();
     private final Vertx vertx;
     private final ContextInternal context;
+    private final NetClient client;
     private final Router router;
     private final ClientSide clients;
     private final ServerSide servers;
@@ -43,6 +43,7 @@
     private final Promise<Void> ended = Promise.promise();
     private Listener listener;
     private boolean accompanied;
+    private boolean serves;
 
     /** A node; without a folder that its processes share, it has one process at a time. */
     public NodeServer(NodeConfig told, Path folder) {
@@ -58,7 +59,7 @@
         context = (ContextInternal) vertx.getOrCreateContext();
         router = new Router(config, this::carryOut);
         clients = new ClientSide(events::take);
-        NetClient client = vertx.createNetClient();
+        client = vertx.createNetClient();
         servers = new ServerSide((address, timeoutMs) ->
             Outbound.connect(client, "server", address, timeoutMs, Headers.MOST_BODY), events::take);
         discovery = new DiscoverySide(vertx, client, events::take);
@@ -81,30 +82,32 @@
         context.runOnContext(run -> {
             router.start(clock.micros());
             look();
-            EventLoop loop = context.nettyEventLoop();
-            clients.listen(loop, config.listen(), config.management() != null, gate)
-                .compose(listening -> {
-                    listener = listening;
-                    LOG.info("{} listens on {}", config.name(), config.listen());
-                    return config.management() == null ? Future.<Listener>succeededFuture()
-                        : door.listen(config.management());
-                })
-                .onSuccess(listening -> serves())
+            openDoor().compose(warm -> clients.listen(context.nettyEventLoop(), config.listen(),
+                    config.management() != null, gate))
+                .onSuccess(this::listening)
                 .<Void>mapEmpty().onComplete(started);
         });
         return started.future();
     }
 
-    private void serves() {
-        if (config.management() != null) {
-            LOG.info("{} answers operators on {}", config.name(), config.management());
-        }
-        try {
-            if (shared != null) {
-                shared.siblings().serves();
-            }
-        } catch (IOException e) {
-            LOG.error("another process of this node will not know that this one serves: {}", e.toString());
+    // The door comes first, and says no until clients are taken.
+    private Future<Integer> openDoor() {
+        return config.management() == null ? Future.succeededFuture(0)
+            : door.listen(config.management()).compose(listening -> {
+                LOG.info("{} answers operators on {}", config.name(), config.management());
+                return WarmUp.run(client, config.management(), accompanied)
+                    .onSuccess(calls -> LOG.info("{} called its own door {} times", config.name(), calls));
+            });
+    }
+
+    private void listening(Listener listening) {
+        listener = listening;
+        LOG.info("{} listens on {}", config.name(), config.listen());
+        door.opened();
+        events.take(new Event.Serving());
+        serves = true;
+        if (shared != null) {
+            shared.siblings().tell(true, router.connections());
         }
     }
 
@@ -114,11 +117,14 @@
             return;
         }
         events.take(new Event.HeldRead(shared.held().read()));
-        boolean now = shared.siblings().accompanied();
-        if (now != accompanied) {
-            accompanied = now;
-            LOG.info("{} {}", config.name(), now ? "runs beside another process" : "runs alone again");
-            events.take(new Event.CompanySeen(now));
+        shared.siblings().tell(serves, router.connections());
+        Siblings.Company company = shared.siblings().look();
+        if (company.lives() != accompanied) {
+            accompanied = company.lives();
+            LOG.info("{} runs {}", config.name(), accompanied ? "beside another process" : "alone again");
+            events.take(new Event.CompanySeen(accompanied, company.connections()));
+        } else if (accompanied) {
+            events.take(new Event.CompanySeen(true, company.connections()));
         }
         vertx.setTimer(LOOK_EVERY_MS, due -> look());
     }
@@ -126,7 +132,7 @@
     /** Begins to stop: what has been taken is still answered. The future completes when all is. */
     public Future<Void> stop() {
         context.runOnContext(run -> {
-            boolean succeeded = shared != null && shared.siblings().succeeded();
+            boolean succeeded = shared != null && shared.siblings().look().serves();
             LOG.info("{} was told to stop{}", config.name(),
                 succeeded ? ", another process takes its clients" : "");
             events.take(new Event.StopAsked(succeeded));
--- a/src/main/java/ottergauge/transport/SharedFolder.java
+++ b/src/main/java/ottergauge/transport/SharedFolder.java
@@ -35,6 +35,6 @@
     }
 
     NodeConfig freshest(NodeConfig config) {
-        return list.freshest(config, siblings.accompanied());
+        return list.freshest(config, siblings.look().lives());
     }
 }
--- a/src/main/java/ottergauge/transport/Siblings.java
+++ b/src/main/java/ottergauge/transport/Siblings.java
@@ -21,6 +21,11 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Siblings.class);
     private static final String MARK = "process-";
+    // A byte that says whether the process takes clients, and the number of its connections.
+    private static final int TOLD = 5;
+
+    /** Whether another process lives and takes clients, and how many connections others have open. */
+    record Company(boolean lives, boolean serves, int connections) { }
 
     private final Path folder;
     private final Path own;
@@ -43,32 +48,35 @@
         Files.move(part, own, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
 
-    /** From now on others may leave the clients to this process. */
-    void serves() throws IOException {
-        file.write(ByteBuffer.wrap(new byte[] {'1'}), 0);
-    }
-
-    /** Whether another process of this node lives. */
-    boolean accompanied() {
-        return any(false);
-    }
-
-    /** Whether another process of this node lives and takes clients. */
-    boolean succeeded() {
-        return any(true);
+    /** Tells others whether this process takes clients by now, and how many connections it has open. */
+    void tell(boolean serves, int connections) {
+        try {
+            file.write(ByteBuffer.allocate(TOLD).put((byte) (serves ? 1 : 0)).putInt(connections).flip(), 0);
+        } catch (IOException e) {
+            LOG.warn("the node's other processes are not told of this one: {}", e.toString());
+        }
     }
 
-    private boolean any(boolean serving) {
+    /** What the node's other processes have told. */
+    Company look() {
         boolean any = false;
+        boolean serves = false;
+        int connections = 0;
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, MARK + "*")) {
             for (Path each : files) {
-                any |= !each.getFileName().equals(own.getFileName()) && lives(each)
-                    && (!serving || Files.size(each) > 0);
+                if (!each.getFileName().equals(own.getFileName()) && lives(each)) {
+                    any = true;
+                    ByteBuffer told = ByteBuffer.wrap(Files.readAllBytes(each));
+                    if (told.remaining() >= TOLD) {
+                        serves |= told.get() == 1;
+                        connections += Math.max(0, told.getInt());
+                    }
+                }
             }
         } catch (IOException e) {
             LOG.warn("the node's other processes cannot be seen: {}", e.toString());
         }
-        return any;
+        return new Company(any, serves, connections);
     }
 
     private static boolean lives(Path each) throws IOException {
--- a/src/test/java/ottergauge/program/DoorIT.java
+++ b/src/test/java/ottergauge/program/DoorIT.java
@@ -112,6 +112,16 @@
         }
     }
 
+    /** With its socket path cold a node refused 500 requests in its first second. */
+    @Test
+    void theSocketPathIsWarmBeforeClientsAreTaken() throws Exception {
+        RunningNode node = process(RunningNode.freePort());
+        int called = node.log().indexOf("called its own door");
+        assertTrue(called > 0 && called < node.log().indexOf("listens on"), node.log());
+        assertTrue(node.log().matches("(?s).* called its own door [1-9][0-9]{2} times.*"), node.log());
+        assertFalse(node.log().contains("side=itself"), "no line for each");
+    }
+
     /** A flood that fills the clients' part leaves the door alone. */
     @Test
     void aFloodOfClientsLeavesTheDoorOpen() throws Exception {
