--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -190,7 +190,8 @@
             limitSockets(e.config().sockets());
             watch.move(now, e.config().discovery());
         } else if (event instanceof Event.HealthAsked e) {
-            clients.respond(now, e.client(), e.readiness() && stopping ? UNAVAILABLE : OK, 0, Content.NONE,
+            boolean ready = serving && !stopping;
+            clients.respond(now, e.client(), e.readiness() && !ready ? UNAVAILABLE : OK, 0, Content.NONE,
                 false);
         } else if (event instanceof Event.RequestUnreadable e) {
             unreadable(e);
--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -70,8 +70,8 @@
     private long moved;
     private long toldAt;
 
-    ClientConnection(long number, Framing.Requests decoder, Consumer<Event> events) {
-        super("client");
+    ClientConnection(String side, long number, Framing.Requests decoder, Consumer<Event> events) {
+        super(side);
         this.number = number;
         this.decoder = decoder;
         this.events = events;
--- a/src/main/java/ottergauge/transport/ClientSide.java
+++ b/src/main/java/ottergauge/transport/ClientSide.java
@@ -30,6 +30,7 @@
     private final Consumer<Event> events;
     private final Map<Long, ClientConnection> connections = new HashMap<>();
     private long lastNumber;
+    private String side = ConnectionLog.UNTOLD;
 
     ClientSide(Consumer<Event> events) {
         this.events = events;
@@ -39,11 +40,16 @@
         return Listener.open(loop, address, BACKLOG, shared, gate, this::adopt);
     }
 
+    /** The node takes clients: from now on it is they who connect. */
+    void opened() {
+        side = "client";
+    }
+
     /** Takes a new connection. */
     void adopt(ChannelPipeline pipeline) {
         long number = ++lastNumber;
         Framing.Requests decoder = new Framing.Requests();
-        ClientConnection connection = new ClientConnection(number, decoder, this::report);
+        ClientConnection connection = new ClientConnection(side, number, decoder, this::report);
         connections.put(number, connection);
         pipeline.addFirst(decoder, new HttpResponseEncoder(), connection);
         events.accept(new ClientConnected(number));
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -13,6 +13,7 @@
 import java.nio.file.Path;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import ottergauge.protocol.Address;
 import ottergauge.protocol.Headers;
 import ottergauge.protocol.NodeConfig;
 import ottergauge.routing.CloseReason;
@@ -43,7 +44,7 @@
     private final Promise<Void> ended = Promise.promise();
     private Listener listener;
     private boolean accompanied;
-    private boolean serves;
+    private boolean serving;
 
     /** A node; without a folder that its processes share, it has one process at a time. */
     public NodeServer(NodeConfig told, Path folder) {
@@ -82,9 +83,13 @@
         context.runOnContext(run -> {
             router.start(clock.micros());
             look();
-            openDoor().compose(warm -> clients.listen(context.nettyEventLoop(), config.listen(),
-                    config.management() != null, gate))
+            boolean shares = config.management() != null;
+            openDoor()
+                .compose(warm -> clients.listen(context.nettyEventLoop(), config.listen(), shares, gate))
                 .onSuccess(this::listening)
+                .compose(listening -> shares ? Future.succeededFuture(0)
+                    : warmUp(config.listen(), Headers.LIVE_PATH))
+                .onSuccess(warm -> serves())
                 .<Void>mapEmpty().onComplete(started);
         });
         return started.future();
@@ -95,17 +100,27 @@
         return config.management() == null ? Future.succeededFuture(0)
             : door.listen(config.management()).compose(listening -> {
                 LOG.info("{} answers operators on {}", config.name(), config.management());
-                return WarmUp.run(client, config.management(), accompanied)
-                    .onSuccess(calls -> LOG.info("{} called its own door {} times", config.name(), calls));
+                return warmUp(config.management(), DoorConnection.HEALTH);
             });
     }
 
+    // With no door it is the clients' address that is called, and the node is not ready before that is done.
+    private Future<Integer> warmUp(Address own, String path) {
+        boolean away = config.management() == null;
+        return WarmUp.run(client, own, path, config.settings().nodes(), away, accompanied)
+            .onSuccess(calls -> LOG.info("{} called itself {} times", config.name(), calls));
+    }
+
     private void listening(Listener listening) {
         listener = listening;
         LOG.info("{} listens on {}", config.name(), config.listen());
+    }
+
+    private void serves() {
         door.opened();
+        clients.opened();
         events.take(new Event.Serving());
-        serves = true;
+        serving = true;
         if (shared != null) {
             shared.siblings().tell(true, router.connections());
         }
@@ -117,7 +132,7 @@
             return;
         }
         events.take(new Event.HeldRead(shared.held().read()));
-        shared.siblings().tell(serves, router.connections());
+        shared.siblings().tell(serving, router.connections());
         Siblings.Company company = shared.siblings().look();
         if (company.lives() != accompanied) {
             accompanied = company.lives();
--- a/src/main/java/ottergauge/transport/WarmUp.java
+++ b/src/main/java/ottergauge/transport/WarmUp.java
@@ -14,22 +14,27 @@
 import ottergauge.routing.CloseReason;
 
 /**
- * Calls the node's own door before it takes clients: both ends of a connection on real sockets. The rehearsal
+ * Calls the node itself before it takes clients: both ends of a connection on real sockets. The rehearsal
  * runs in memory; with the socket path cold a node refused 500 requests in its first second.
  */
 final class WarmUp {
 
     // As for the rehearsal: the compiler takes up a method after some hundred calls.
     private static final int MOST = 400;
+    // Without a door the node is away meanwhile: what a restart loses by that is more than what it gains.
+    private static final int MOST_AWAY = 100;
     // Beside a process that serves, whose CPU it shares, and whose clients come to it one by one.
     private static final int MOST_BESIDE = 100;
+    // What all nodes call together, as for the rehearsal: of many nodes each counts for little.
+    private static final int BY_ALL = 1_200;
     private static final int AT_ONCE = 8;
     // The longest that it may keep a node from its clients.
     private static final long LONGEST = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final long CALL_WITHIN_MS = 500;
 
     private final NetClient client;
-    private final Address door;
+    private final Address own;
+    private final String path;
     private final int most;
     private final Promise<Integer> done = Promise.promise();
     private final long from = System.nanoTime();
@@ -37,15 +42,18 @@
     private int ended;
     private int open;
 
-    private WarmUp(NetClient client, Address door, int most) {
+    private WarmUp(NetClient client, Address own, String path, int most) {
+        this.path = path;
         this.most = most;
         this.client = client;
-        this.door = door;
+        this.own = own;
     }
 
     /** Gives back how many calls there were, whatever became of them. */
-    static Future<Integer> run(NetClient client, Address door, boolean beside) {
-        WarmUp warmUp = new WarmUp(client, door, beside ? MOST_BESIDE : MOST);
+    static Future<Integer> run(NetClient client, Address own, String path, int nodes, boolean away,
+                               boolean beside) {
+        int most = Math.min(away ? MOST_AWAY : beside ? MOST_BESIDE : MOST, BY_ALL / nodes);
+        WarmUp warmUp = new WarmUp(client, own, path, most);
         for (int i = 0; i < AT_ONCE; i++) {
             warmUp.next();
         }
@@ -56,7 +64,7 @@
         if (begun < most && System.nanoTime() - from < LONGEST) {
             begun++;
             open++;
-            Outbound.connect(client, ConnectionLog.UNTOLD, door, CALL_WITHIN_MS, 1 << 10)
+            Outbound.connect(client, ConnectionLog.UNTOLD, own, CALL_WITHIN_MS, 1 << 10)
                 .onComplete(this::call, failure -> over());
         } else if (open == 0) {
             done.tryComplete(ended);
@@ -66,7 +74,7 @@
     private void call(Outbound connection) {
         connection.whenEnded(why -> over());
         FullHttpRequest request =
-            new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, DoorConnection.HEALTH);
+            new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
         request.headers().set(HttpHeaderNames.HOST, connection.address());
         connection.send(request, () -> { }, answer -> connection.close(CloseReason.NOT_REUSABLE));
     }
--- a/src/test/java/ottergauge/program/DoorIT.java
+++ b/src/test/java/ottergauge/program/DoorIT.java
@@ -116,9 +116,9 @@
     @Test
     void theSocketPathIsWarmBeforeClientsAreTaken() throws Exception {
         RunningNode node = process(RunningNode.freePort());
-        int called = node.log().indexOf("called its own door");
+        int called = node.log().indexOf("called itself");
         assertTrue(called > 0 && called < node.log().indexOf("listens on"), node.log());
-        assertTrue(node.log().matches("(?s).* called its own door [1-9][0-9]{2} times.*"), node.log());
+        assertTrue(node.log().matches("(?s).* called itself [1-9][0-9]{2} times.*"), node.log());
         assertFalse(node.log().contains("side=itself"), "no line for each");
     }
 
--- a/src/test/java/ottergauge/routing/OperatorsTest.java
+++ b/src/test/java/ottergauge/routing/OperatorsTest.java
@@ -113,8 +113,9 @@
     /** A yes is the sign to stop the process before this one: it must not come too soon. */
     @Test
     void healthIsANoUntilClientsAreTakenAndAfterTheStop() {
-        assertEquals(503, ask(new OperatorCall.Health()).status());
-        node.tell(new Event.Serving());
+        RouterDriver starting = new RouterDriver(new TestConfig(), false);
+        starting.tell(new Event.OperatorAsked(1, new OperatorCall.Health()));
+        assertEquals(503, starting.expect(TellOperator.class).status());
         assertEquals(200, ask(new OperatorCall.Health()).status());
         node.tell(new Event.StopAsked(true));
         assertEquals(503, ask(new OperatorCall.Health()).status());
--- a/src/test/java/ottergauge/routing/RouterDriver.java
+++ b/src/test/java/ottergauge/routing/RouterDriver.java
@@ -39,8 +39,15 @@
     private long lastRequest;
 
     RouterDriver(TestConfig config) {
+        this(config, true);
+    }
+
+    RouterDriver(TestConfig config, boolean serving) {
         router = new Router(config.build(), this::asked);
         router.start(now);
+        if (serving) {
+            router.handle(now, new Event.Serving());
+        }
     }
 
     private void asked(Effect effect) {
