Timers are never early by the reducer's clock, so that no time-out is passed over

Need: Router.due ignored a JobDue that came over 1 ms before its time and started none in its place; Decide keeps timerAt of a wake that came early in the same way.

Change: transport.Timers compares with the clock that events are stamped with and waits for the rest; Router compares exactly. TimersTest fails without the wait for the rest.

--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -62,8 +62,6 @@
     private static final int FLOWS_A_MB = 2;
     // Of these, requests: an answer that has begun was worked for, and cannot be refused any more.
     private static final double REQUESTS_PART = 0.75;
-    // What a timer's instant may differ by from the clock's.
-    private static final long TIMERS_SPREAD = 1_000;
     // Clients have this part of the sockets at most, so that there are always some for what they ask.
     private static final double CLIENT_PART = 2.0 / 3;
     // Of all descriptors: what another process of the node may open between two looks at it.
@@ -468,7 +466,7 @@
     private void due(long number) {
         Job job = jobs.get(number);
         // What flows is given as long as it takes, and its time anew when its last byte is written.
-        if (job != null && now >= job.dueAt - TIMERS_SPREAD && !flowing(job)) {
+        if (job != null && now >= job.dueAt && !flowing(job)) {
             upstreams.giveUp(job, CloseReason.TIMED_OUT);
             ended(job, job.written ? Result.TIMED_OUT : Result.CONNECT_FAILED);
         }
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -41,6 +41,7 @@
     private final Door door;
     private final SharedFolder shared;
     private final EventQueue events = new EventQueue(this::handle);
+    private final Timers timers;
     private final Promise<Void> ended = Promise.promise();
     private Listener listener;
     private boolean accompanied;
@@ -58,6 +59,7 @@
                 .setClassPathResolvingEnabled(false).setFileCachingEnabled(false));
         vertx = VertxBootstrap.create().options(options).transport(new OneLoopTransport()).init().vertx();
         context = (ContextInternal) vertx.getOrCreateContext();
+        timers = new Timers(clock::micros, (millis, task) -> vertx.setTimer(millis, fired -> task.run()));
         router = new Router(config, this::carryOut);
         clients = new ClientSide(events::take);
         client = vertx.createNetClient();
@@ -209,8 +211,7 @@
         } else if (effect instanceof Effect.AskLoad e) {
             servers.askLoad(e);
         } else if (effect instanceof Effect.StartTimer e) {
-            long millis = Math.max(1, (e.delay() + 999) / 1000);
-            vertx.setTimer(millis, fired -> events.take(new Event.TimerFired(e.timer())));
+            timers.start(e.delay(), () -> events.take(new Event.TimerFired(e.timer())));
         } else if (effect instanceof Effect.Connect e) {
             servers.connect(e);
         } else if (effect instanceof Effect.CloseServer e) {
--- /dev/null
+++ b/src/test/java/ottergauge/transport/TimersTest.java
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class TimersTest {
+
+    private record Started(long millis, Runnable task) { }
+
+    private final List<Started> started = new ArrayList<>();
+    private final List<Long> ran = new ArrayList<>();
+    private long now = 5_000_000;
+    private final Timers timers =
+        new Timers(() -> now, (millis, task) -> started.add(new Started(millis, task)));
+
+    /** Guards against a time-out that is lost: a timer that fires 2 ms early was passed over for good. */
+    @Test
+    void aTimerThatTheLibraryFiresEarlyWaitsForTheRest() {
+        timers.start(100_000, () -> ran.add(now));
+        assertEquals(100, started.get(0).millis());
+
+        now += 98_000;
+        started.get(0).task().run();
+        assertEquals(List.of(), ran);
+        assertEquals(2, started.get(1).millis());
+
+        now += 2_000;
+        started.get(1).task().run();
+        assertEquals(List.of(5_100_000L), ran);
+        assertEquals(2, started.size());
+    }
+
+    @Test
+    void aPartOfAMillisecondIsWaitedForWhole() {
+        timers.start(1, () -> ran.add(now));
+        timers.start(1_001, () -> ran.add(now));
+        assertEquals(List.of(1L, 2L), started.stream().map(Started::millis).toList());
+    }
+}
