--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -22,6 +22,8 @@
     // ---- The design's starting values --------------------------------------------------------------
     private static final long WINDOW = 5_000_000;
     private static final int WEIGHT_TOTAL = 1000;
+    // A node's first window: until it ends all servers weigh the same, and the slow ones are overrun.
+    private static final long FIRST_WINDOW = WINDOW / 5;
     // The class table's bound: classes past it borrow the shared row.
     private static final int MOST_ROWS = 64;
     // A row's answers for each server from which on its means say more than the shared row's.
@@ -54,6 +56,10 @@
     // A report is forgotten over so many service times: others send to a server left idle as seldom as that,
     // since by their own reports they know of other ones.
     private static final double FORGET_SERVICES = 10;
+    // What a node sends tells so much of what each other one does, and what leaves meanwhile counts for so
+    // much: less than it is, since others mostly fill it up.
+    private static final double OTHERS_ALIKE = 0.4;
+    private static final double HAVE_LEFT = 0.25;
     // Servers believed to hold so much more than the least are passed over: less than that no report tells.
     private static final double HEARD_MARGIN = 0.1;
     // A server is worth a send if what it holds, and this request, fit in this part of the time left.
@@ -65,9 +71,9 @@
     private static final double SEARCH_PART = 0.1;
     // An odd number with its bits well spread, the golden ratio's, for mixing keys with ids.
     private static final long MIX = 0x9E3779B97F4A7C15L;
-    // Nothing is sent behind more turns than this: a core needs one waiting to stay busy, and held requests
-    // can still be overtaken and go to whichever server is free first.
-    private static final double MOST_TURNS = 1.5;
+    // Nothing is sent where this multiple of the root of its room waits already: that many keep it busy (the
+    // square-root rule of staffing), and held requests can still go to whichever server is free first.
+    private static final double MOST_WAITING = 0.6;
     // Less than this part of a service time left to the aim: the request can no longer make it.
     private static final double DOOMED_PART = 0.6;
     // A sounded server that has not answered for this multiple of the usual trip is mute.
@@ -84,13 +90,15 @@
     // request, which may run on when it is given up, and all of its work is wasted.
     private static final double LOST_PART = 0.15;
     // Up to this part of the cores busy hardly a request waits for one; and what it may be out for noise.
-    private static final double SPARE_CORES = 0.6;
-    private static final double CORES_NOISE = 0.3;
+    private static final double SPARE = 0.6;
+    private static final double ROOM_NOISE = 0.3;
     // What is reported busy is a mean over a second or so: of a fleet that a burst has just woken it tells
     // far too little, and three cores were taken for thirty.
     private static final long WAKING = 2_000_000;
-    // So many busy cores in reports tell how many there are; of twice as many the older half is forgotten.
-    private static final double CORES_SEEN = 4;
+    // So many servers' full work in reports tells a room; of twice as much the older half is forgotten.
+    private static final double WORK_SEEN = 4;
+    // A rate is a mean over some time, and says as much as so many counts at an instant.
+    private static final double RATE_SAYS = 4;
     // Departure "errors": so many in a row bar a server. One that fails at once looks idle and draws sends.
     private static final int ERRORS_IN_A_ROW = 2;
     // Where loads are heard a bar for an error begins so far up: a trial costs a request, and one server of
@@ -114,8 +122,33 @@
     // Steps of the golden ratio spread a node's points over the ring, however many they are.
     private static final double GOLDEN = 0.6180339887498949;
     private static final int SUBSET_TRIES = 4;
+    private static final double SECOND = 1e6;
     private static final long NEVER = Long.MIN_VALUE / 4;
 
+    // How many requests a server holds when all of its cores are busy: as many as these where requests only
+    // work, and many times as many where they wait on others most of their time.
+    private static final class Room {
+        private double held;
+        private double busy;
+        private boolean known;
+
+        void saw(double requests, double busyPart, double says) {
+            held += says * requests;
+            busy += says * busyPart;
+            known |= says > 1 || busy > WORK_SEEN;
+            if (busy > 2 * WORK_SEEN) {
+                held /= 2;
+                busy /= 2;
+            }
+        }
+
+        // With what is held elsewhere for what this one has not shown yet.
+        double size(double elsewhere) {
+            double unseen = Math.max(0, WORK_SEEN - busy);
+            return Math.floor(Math.max(1, (held + unseen * elsewhere) / (busy + unseen) + ROOM_NOISE));
+        }
+    }
+
     // A server, as this node knows it.
     private static final class Server {
         final long id;
@@ -134,6 +167,8 @@
         double[] current;
         boolean candidate;
         double load;
+        int sentSince;
+        final Room room = new Room();
         long reportedAt = NEVER;
         long probedAt = NEVER;
         boolean probing;
@@ -244,9 +279,7 @@
     private final int mostProbes;
     private boolean hears;
     private double meanLoad;
-    private double running;
-    private double coresBusy;
-    private int cores = 1;
+    private final Room fleet = new Room();
     private final Map<Long, Server> byId = new HashMap<>();
     private final ArrayList<Server> servers = new ArrayList<>();
     private final TreeMap<Double, Server> ring = new TreeMap<>();
@@ -268,6 +301,8 @@
     private double pace;
     private long sentAt;
     private double service;
+    // What a request takes at a server with cores to spare.
+    private double spareTime;
     private final Map<Integer, Double> trips = new HashMap<>();
     private long requestNumber;
     private long windowEnd = NEVER;
@@ -295,7 +330,7 @@
     /** Takes one event; the actions are to happen at the same instant, in their order. */
     public void handle(long at, Event event, ActionSink out) {
         if (windowEnd == NEVER) {
-            windowEnd = at + WINDOW;
+            windowEnd = at + FIRST_WINDOW;
             wokenAt = at + WAKING;
             now = at;
             if (settings.discovery() == Discovery.ON_REQUEST) {
@@ -472,6 +507,7 @@
         a.server.out.add(a);
         out.add(a);
         a.server.load += 1;
+        a.server.sentSince++;
     }
 
     private void unload(Attempt a) {
@@ -573,7 +609,9 @@
         double price = settings.prices().connection() * perServer;
         double paid = price > 0 ? Math.min(FREE_SUBSET, CONNECTION_SPEND / price) : FREE_SUBSET;
         paid = Math.min(paid, DOZEN * Math.max(1, servers.size() / (double) settings.nodes()));
-        return (int) Math.max(LEAST_SUBSET, Math.max(paid, Math.max(out.size(), SUBSET_SPARE * meanOut)));
+        double each = hears && fleet.known ? fleet.size(1) : 1;
+        double wanted = Math.max(out.size(), SUBSET_SPARE * meanOut) / each;
+        return (int) Math.max(LEAST_SUBSET, Math.max(paid, wanted));
     }
 
     // Weights of a row: the floor of a server's part of the inverse means, times the total, at least one.
@@ -691,28 +729,35 @@
     // Whether the request can be expected to end at this server while its answer still has worth.
     private boolean fits(Request q, Server s) {
         // With nothing out nothing would be heard any more, and a fleet once full be taken for full for ever.
-        if (!sounds && !hears || service == 0 || hears && out.isEmpty()) {
+        if (!sounds && !hears || service == 0 || hears && out.isEmpty() && now - sentAt >= service) {
             return true;
         }
         double crowd = crowd(s);
         // What is late has long to wait: let behind others, it fills the servers that others need in time.
-        if (crowd >= cores * (q.end > q.aimAt ? 1 : MOST_TURNS)) {
+        double room = room(s);
+        if (crowd >= room + (q.end > q.aimAt ? 0 : MOST_WAITING * Math.sqrt(room))) {
             return false;
         }
         boolean runsOn = q.usefulUntil > q.aimAt;
-        return turns(crowd) * serviceOf(s) <= (runsOn ? LATE_FIT_PART : FIT_PART) * (q.end - now)
-            || crowd < cores && warmth(s, now) >= 1
+        return turns(s, crowd) * serviceOf(s) <= (runsOn ? LATE_FIT_PART : FIT_PART) * (q.end - now)
+            || crowd < room && warmth(s, now) >= 1
                 && (!runsOn || out.isEmpty() || serviceOf(s) <= q.end - now);
     }
 
-    // How many requests of others one would wait for.
+    // How many requests of others one would wait for. What was heard is old, and others send meanwhile: there
+    // it is by how much of its room a server is fuller than the root of it leaves free for chance.
     private double behind(Server s) {
-        return crowd(s) + 1 - cores;
+        double room = room(s);
+        return hears ? crowd(s) / room - 1 + 1 / Math.sqrt(room) : crowd(s) + 1 - room;
+    }
+
+    private double room(Server s) {
+        return fleet.known ? s.room.size(fleet.size(1)) : 1;
     }
 
     // The service times until a request ends that comes to a server which holds so many.
-    private double turns(double load) {
-        return Math.max(1, (load + 1) / cores);
+    private double turns(Server s, double load) {
+        return Math.max(1, (load + 1) / room(s));
     }
 
     private double crowd(Server s) {
@@ -723,17 +768,28 @@
     }
 
     // Departure "hearsay": where probes are too dear, what an answer said of its server is believed less and
-    // less, until the server stands at the mean of all.
+    // less, until the server stands at the mean of all. Meanwhile some of it has left, and the others who
+    // share the server have sent: in part as this node did. Uncounted, they all filled the emptiest at once.
     private double believed(Server s) {
-        double trust = s.reportedAt == NEVER ? 0
-            : Math.exp((s.reportedAt - now) / (FORGET_SERVICES * Math.max(tripTo(s), service)));
-        return meanLoad + trust * (s.load - meanLoad);
+        if (s.reportedAt == NEVER) {
+            return meanLoad;
+        }
+        double age = (now - s.reportedAt) / Math.max(1, service);
+        double trust = Math.exp(-age * service / (FORGET_SERVICES * Math.max(tripTo(s), service)));
+        double others = !fleet.known ? 0
+            : OTHERS_ALIKE * s.sentSince * (sharing() - 1) - HAVE_LEFT * s.load * (1 - Math.exp(-age));
+        return Math.max(0, meanLoad + trust * (s.load + others - meanLoad));
+    }
+
+    // The nodes that have a server in their subset.
+    private double sharing() {
+        return Math.max(1, settings.nodes() * Math.min(1, subset.size() / (double) servers.size()));
     }
 
     private boolean known(Server s) {
         long age = now - s.reportedAt;
         return age <= FRESH_PART * Math.max(service, tripTo(s))
-            || s.load >= cores && age <= BUSY_PART * s.load / cores * service;
+            || s.load >= room(s) && age <= BUSY_PART * s.load / room(s) * service;
     }
 
     private boolean mute(Server s) {
@@ -754,28 +810,27 @@
     private void report(Server s, LoadReport report, int own) {
         if (!Double.isNaN(report.inFlight())) {
             s.load = Math.max(0, Math.rint(report.inFlight()) - own);
+            s.sentSince = 0;
             s.reportedAt = now;
             hears = settings.reportsLoad() && !sounds;
             meanLoad += BLEND * (s.load - meanLoad);
+            learnRoom(s, report, own);
         }
     }
 
-    // Departure "cores": what runs at a server for each part of its cores that is busy tells how many it has.
-    // Taken for one, a server with a free core counts as full, and its cold budget is a part of what it is.
-    private void learnCores(LoadReport r) {
+    // Departure "room": what a server holds for each part of its cores that is busy tells how much it holds.
+    // Taken for one, a server with a free core counts as full, and its cold budget is a part of what it is;
+    // and one whose requests mostly wait on others was full with two of the sixty that it holds with ease.
+    private void learnRoom(Server s, LoadReport r, int own) {
         boolean waiting = r.queued() >= 1;
-        double busy = waiting ? 1 : r.utilization();
-        if (!(r.inFlight() >= 0) || !(busy > 0) || !waiting && (busy > SPARE_CORES || now < wokenAt)) {
-            return;
-        }
-        running += waiting ? r.inFlight() - r.queued() : r.inFlight();
-        coresBusy += busy;
-        if (coresBusy > CORES_SEEN) {
-            cores = (int) Math.max(1, running / coresBusy + CORES_NOISE);
-        }
-        if (coresBusy > 2 * CORES_SEEN) {
-            running /= 2;
-            coresBusy /= 2;
+        boolean rate = hears && r.requestsPerSecond() > 0 && service > 0;
+        double busy = waiting && !rate ? 1 : r.utilization();
+        // By Little's law, with the time that a request takes where none waits: what waits is left out.
+        double running = rate ? r.requestsPerSecond() * (spareTime > 0 ? spareTime : service) / SECOND
+            : waiting ? r.inFlight() - r.queued() : r.inFlight() - own;
+        if (busy > 0 && running >= 0 && (rate || waiting || busy <= SPARE && now >= wokenAt)) {
+            fleet.saw(running, busy, rate ? RATE_SAYS : 1);
+            s.room.saw(running, busy, rate ? RATE_SAYS : 1);
         }
     }
 
@@ -859,7 +914,7 @@
             hears ? Math.max(s.out.size(), believed(s)) : Math.max(s.load, s.out.size()));
         q.out.add(a);
         load(a);
-        if (out.size() > subset.size() && subset.size() < servers.size()) {
+        if (subsetSize() > subset.size() && subset.size() < servers.size()) {
             chooseSubset();
         }
         if (!held.isEmpty()) {
@@ -920,7 +975,12 @@
     private void judge(Server s, Attempt a, AttemptEnded e) {
         switch (e.result()) {
             case SERVED -> {
-                sample(s, a.request.row, e.elapsed());
+                // What its server reports, as the design has it, and the node's own where it tells none.
+                double reported = e.report().latencyMicros();
+                sample(s, a.request.row, reported > 0 ? (long) reported : e.elapsed());
+                if (e.report().utilization() <= SPARE) {
+                    spareTime = blend(spareTime, e.elapsed());
+                }
                 served++;
                 answered(s);
                 // One that fails some of its requests would begin anew after each that it serves.
@@ -931,8 +991,14 @@
             case TIMED_OUT -> {
                 // An answer that is lost for good tells nothing of the fleet's speed: taken whole, a few of
                 // them made every server too slow for any request.
-                double most = service > 0 ? SILENT_EACH * service * turns(a.loadBefore) : e.elapsed();
+                double most = service > 0 ? SILENT_EACH * service * turns(s, a.loadBefore) : e.elapsed();
                 learn(s, a, (long) Math.min(e.elapsed(), most));
+                if (hears && fleet.known) {
+                    // Departure "unheard": what did not end in this time had so many turns before it, and no
+                    // answer tells of them. Forgotten, the server stood at the mean and drew sends.
+                    s.load = Math.max(s.load, room(s) * e.elapsed() / service);
+                    s.reportedAt = now;
+                }
             }
             case CONNECT_FAILED -> lose(s);
             case RESET -> broken(s);
@@ -965,7 +1031,7 @@
 
     // What an attempt took, at the least: left out, those that ran out of time hide that all is slow.
     private void learn(Server s, Attempt a, long elapsed) {
-        double alone = elapsed / turns(a.loadBefore);
+        double alone = elapsed / turns(s, a.loadBefore);
         service = blend(service, alone);
         s.slowness = blend(s.slowness, alone / service);
     }
@@ -1013,7 +1079,6 @@
         if (e.result() == Result.SERVED) {
             trips.merge(s.entry.zone(), (double) e.elapsed(), Decide::blend);
             report(s, e.report(), 0);
-            learnCores(e.report());
             if (Double.isNaN(e.report().inFlight())) {
                 // Departure "mute reports": with no load told the rotation goes on by the node's own sends.
                 // Taken for unknown, the servers stood idle while all was held and refused.
@@ -1021,7 +1086,7 @@
                 s.reportedAt = now;
             }
             answered(s);
-            news = crowd(s) < cores;
+            news = crowd(s) < room(s);
         } else if (e.result() == Result.ERROR) {
             failed(s);
         } else if (e.result() == Result.RESET) {
@@ -1049,7 +1114,7 @@
         }
         for (Attempt a : out) {
             Server s = a.server;
-            double expected = serviceOf(s) * turns(a.loadBefore);
+            double expected = serviceOf(s) * turns(s, a.loadBefore);
             double waits = expected > 0 ? (now - Math.max(a.sentAt, s.answeredAt)) / expected : 0;
             s.due += Math.min(waits, SILENT_EACH);
             if (unanswered > LOST_PART && expected > 0 && now - a.sentAt > OVERDUE * expected) {
@@ -1120,8 +1185,8 @@
     // This node's part of what a cold server may be sent before it falls over: of what a server does alone
     // where loads are known, else of what this node sends to the mean server, which that one carries.
     private double coldBudget(double warmth) {
-        double nodes = Math.max(1, settings.nodes() * Math.min(1, subset.size() / (double) servers.size()));
-        double perServer = sounds && service > 0 ? cores / service / nodes : servedRate;
+        double nodes = sharing();
+        double perServer = sounds && service > 0 ? fleet.size(1) / service / nodes : servedRate;
         double capacity = settings.rules().fallAfter() * perServer;
         double part = COLD_CAUTION * settings.rules().tipMultiple() * warmth * capacity;
         return Math.max(part, Math.min(1, LEAST_SENDS / nodes));
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -53,7 +53,7 @@
 
     /** A server's load as it reported it; a value that is absent is NaN. */
     public record LoadReport(double inFlight, double queued, double utilization, double latencyMicros,
-                             double errorsPerSecond) {
+                             double requestsPerSecond) {
         public static final LoadReport NONE =
             new LoadReport(Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
     }
--- a/src/main/java/ottergauge/protocol/LoadReports.java
+++ b/src/main/java/ottergauge/protocol/LoadReports.java
@@ -28,7 +28,7 @@
         double queued = Double.NaN;
         double utilization = Double.NaN;
         double latencyMs = Double.NaN;
-        double errors = Double.NaN;
+        double served = Double.NaN;
         for (String pair : text.substring(FORM.length()).split(",")) {
             int equals = pair.indexOf('=');
             double value = equals < 0 ? Double.NaN : number(pair.substring(equals + 1));
@@ -40,11 +40,11 @@
                 case "backlog", "queue" -> queued = value;
                 case "utilization", "util" -> utilization = value;
                 case "recent_ms", "latency_ms" -> latencyMs = value;
-                case "errors_per_s", "eps" -> errors = value;
+                case "throughput", "qps" -> served = value;
                 default -> { }
             }
         }
-        return new LoadReport(inFlight, queued, utilization, latencyMs * 1000, errors);
+        return new LoadReport(inFlight, queued, utilization, latencyMs * 1000, served);
     }
 
     private static double number(String text) {
--- a/src/main/java/ottergauge/simhost/MessageReader.java
+++ b/src/main/java/ottergauge/simhost/MessageReader.java
@@ -122,7 +122,7 @@
         double queued = Double.NaN;
         double utilization = Double.NaN;
         double latencyMs = Double.NaN;
-        double errors = Double.NaN;
+        double served = Double.NaN;
         while (in.nextToken() != JsonToken.END_OBJECT) {
             String key = in.currentName();
             in.nextToken();
@@ -131,11 +131,11 @@
                 case "backlog" -> queued = number(Double.NaN);
                 case "utilization" -> utilization = number(Double.NaN);
                 case "recent_ms" -> latencyMs = number(Double.NaN);
-                case "errors_per_s" -> errors = number(Double.NaN);
+                case "throughput" -> served = number(Double.NaN);
                 default -> in.skipChildren();
             }
         }
-        return new LoadReport(inFlight, queued, utilization, latencyMs * 1000, errors);
+        return new LoadReport(inFlight, queued, utilization, latencyMs * 1000, served);
     }
 
     private List<Message.Entry> entries() throws IOException {
