A request's time runs from when it can have come, not from when the loop reads it

Ruled out by the logs of 92 to 105 nodes: events that fail, client connections that a node closes, sockets that run short (69 of 576). Early timers had been ruled out before.

Cause shown with the program: stopped for 1 s under two requests of 900 ms it takes them for new when it reads them, sends them on and answers 1,900 ms after they came. At fault: Router.requestRead, giveUpAt = now + wait. A loop that is short of CPU does the same in less time.

Change: transport.LoopWatch notes each round of the loop and tells since when what it reads may have waited; connections that are accepted late bring their wait with them. The router counts a request's time from there, and what has none left is refused at once.

--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -23,8 +23,8 @@
     /** The head of a request has come. */
     record RequestBegan(long client) implements Event { }
 
-    /** The last byte of a request has come. */
-    record RequestRead(long client, ClientRequest request) implements Event { }
+    /** The last byte of a request has come, at the most so long ago. */
+    record RequestRead(long client, ClientRequest request, long waited) implements Event { }
 
     /** The first bytes of a head have come. */
     record HeadBegan(long client) implements Event { }
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -138,7 +138,7 @@
     public void handle(long at, Event event) {
         now = at;
         if (event instanceof RequestRead e) {
-            requestRead(e.client(), e.request(), false);
+            requestRead(e.client(), e.request(), e.waited(), false);
         } else if (event instanceof AnswerRead e) {
             upstreams.answered(now, e.connection(), e.answer().reusable())
                 .ifPresent(job -> ended(job, e.answer()));
@@ -149,7 +149,7 @@
         } else if (event instanceof Event.BodyMoved e) {
             clients.moved(now, e.client(), e.bytes());
         } else if (event instanceof Event.RequestFlows e) {
-            requestRead(e.client(), e.request(), true);
+            requestRead(e.client(), e.request(), 0, true);
         } else if (event instanceof Event.RequestEnded e) {
             requestEnded(e.client());
         } else if (event instanceof Event.AnswerFlows e) {
@@ -212,7 +212,7 @@
 
     // ---- Clients ------------------------------------------------------------------------------------
 
-    private void requestRead(long client, ClientRequest request, boolean flows) {
+    private void requestRead(long client, ClientRequest request, long waited, boolean flows) {
         RequestFields fields = request.fields();
         Integer requestClass = classes.get(fields.requestClass());
         if (requestClass == null) {
@@ -233,8 +233,8 @@
         if (wait < 0) {
             wait = config.settings().classes().get(requestClass).deadline();
         }
-        // The client's time runs from the last byte of its request.
-        long giveUpAt = Math.min(lastAnswer, now + wait);
+        // The client's time runs from the last byte of its request, read late or not.
+        long giveUpAt = Math.min(lastAnswer, now - waited + wait);
         Exchange exchange = new Exchange(Long.toString(++lastExchange), client, requestClass, request,
             giveUpAt, wait, flows);
         exchanges.put(exchange.id, exchange);
--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -56,6 +56,10 @@
 
     private final long number;
     private final Framing.Requests decoder;
+    private final LoopWatch watch;
+    /** When it came up at the earliest, and the loop's round in which it was accepted. */
+    private final long since;
+    private final long acceptedIn;
     private final Consumer<Event> events;
     private Stage stage = Stage.HEAD;
     private HttpRequest head;
@@ -70,8 +74,12 @@
     private long moved;
     private long toldAt;
 
-    ClientConnection(String side, long number, Framing.Requests decoder, Consumer<Event> events) {
+    ClientConnection(String side, long number, Framing.Requests decoder, LoopWatch watch, long since,
+                     Consumer<Event> events) {
         super(side);
+        this.watch = watch;
+        this.since = since;
+        acceptedIn = watch.round();
         this.number = number;
         this.decoder = decoder;
         this.events = events;
@@ -245,12 +253,17 @@
             events.accept(fields == null
                 ? new HealthAsked(number, Headers.READY_PATH.equals(head.uri()))
                 : new RequestRead(number, new ClientRequest(fields, head.method().name(), head.uri(),
-                    new Content(head.headers().get(HttpHeaderNames.CONTENT_TYPE), body.bytes()))));
+                    new Content(head.headers().get(HttpHeaderNames.CONTENT_TYPE), body.bytes())), waited()));
             head = null;
             body = null;
         }
     }
 
+    // What a new connection brings with it may be as old as the connection.
+    private long waited() {
+        return watch.microsSince(watch.round() <= acceptedIn + 1 ? since : watch.since());
+    }
+
     private void dropFlow() {
         if (last != null) {
             last.release();
--- a/src/main/java/ottergauge/transport/ClientSide.java
+++ b/src/main/java/ottergauge/transport/ClientSide.java
@@ -27,17 +27,20 @@
     // As many as a burst of clients may open before the loop comes round to accept them.
     private static final int BACKLOG = 1024;
 
+    private final LoopWatch watch;
     private final Consumer<Event> events;
     private final Map<Long, ClientConnection> connections = new HashMap<>();
     private long lastNumber;
     private String side = ConnectionLog.UNTOLD;
 
-    ClientSide(Consumer<Event> events) {
+    ClientSide(LoopWatch watch, Consumer<Event> events) {
+        this.watch = watch;
         this.events = events;
     }
 
     Future<Listener> listen(EventLoop loop, Address address, boolean shared, AcceptGate gate) {
-        return Listener.open(loop, address, BACKLOG, shared, gate, this::adopt);
+        return Listener.open(loop, address, BACKLOG, shared, gate,
+            pipeline -> adopt(pipeline, gate.since()));
     }
 
     /** The node takes clients: from now on it is they who connect. */
@@ -45,11 +48,12 @@
         side = "client";
     }
 
-    /** Takes a new connection. */
-    void adopt(ChannelPipeline pipeline) {
+    /** Takes a new connection that came up at {@code since} at the earliest, by the loop's watch. */
+    void adopt(ChannelPipeline pipeline, long since) {
         long number = ++lastNumber;
         Framing.Requests decoder = new Framing.Requests();
-        ClientConnection connection = new ClientConnection(side, number, decoder, this::report);
+        ClientConnection connection = new ClientConnection(side, number, decoder, watch, since,
+            this::report);
         connections.put(number, connection);
         pipeline.addFirst(decoder, new HttpResponseEncoder(), connection);
         events.accept(new ClientConnected(number));
--- a/src/main/java/ottergauge/transport/Door.java
+++ b/src/main/java/ottergauge/transport/Door.java
@@ -31,7 +31,7 @@
     private static final long FRESH_MS = 50;
 
     private final EventLoop loop;
-    private final AcceptGate gate = new AcceptGate();
+    private final AcceptGate gate;
     private final Consumer<Event> events;
     private final Map<Long, DoorConnection> open = new LinkedHashMap<>();
     private final Map<Long, Long> since = new LinkedHashMap<>();
@@ -39,8 +39,9 @@
     private boolean makingRoom;
     private String side = ConnectionLog.UNTOLD;
 
-    Door(EventLoop loop, Consumer<Event> events) {
+    Door(EventLoop loop, LoopWatch watch, Consumer<Event> events) {
         this.loop = loop;
+        gate = new AcceptGate(watch);
         this.events = events;
     }
 
--- a/src/main/java/ottergauge/transport/Listener.java
+++ b/src/main/java/ottergauge/transport/Listener.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -37,6 +38,8 @@
                                  AcceptGate gate, Consumer<ChannelPipeline> adopt) {
         ServerBootstrap bootstrap = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, backlog).option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR,
+                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(AcceptGate.AT_ONCE))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Connection.WATER_MARK).handler(gate)
             .childHandler(new ChannelInitializer<>() {
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -30,7 +30,8 @@
 
     private final NodeConfig config;
     private final Clock clock = new Clock();
-    private final AcceptGate gate = new AcceptGate();
+    private final LoopWatch watch = new LoopWatch(System::nanoTime);
+    private final AcceptGate gate = new AcceptGate(watch);
     private final Vertx vertx;
     private final ContextInternal context;
     private final NetClient client;
@@ -57,16 +58,17 @@
         VertxOptions options = new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
             .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                 .setClassPathResolvingEnabled(false).setFileCachingEnabled(false));
-        vertx = VertxBootstrap.create().options(options).transport(new OneLoopTransport()).init().vertx();
+        vertx = VertxBootstrap.create().options(options).transport(new OneLoopTransport(watch)).init()
+            .vertx();
         context = (ContextInternal) vertx.getOrCreateContext();
         timers = new Timers(clock::micros, (millis, task) -> vertx.setTimer(millis, fired -> task.run()));
         router = new Router(config, this::carryOut);
-        clients = new ClientSide(events::take);
+        clients = new ClientSide(watch, events::take);
         client = vertx.createNetClient();
         servers = new ServerSide((address, timeoutMs) ->
             Outbound.connect(client, "server", address, timeoutMs, Headers.MOST_BODY), events::take);
         discovery = new DiscoverySide(vertx, client, events::take);
-        door = new Door(context.nettyEventLoop(), events::take);
+        door = new Door(context.nettyEventLoop(), watch, events::take);
     }
 
     // Without it a node serves all the same: an upgrade then ends like a restart.
@@ -171,6 +173,7 @@
     }
 
     private void handle(Event event) {
+        watch.handles();
         try {
             router.handle(clock.micros(), event);
         } catch (RuntimeException e) {
--- a/src/main/java/ottergauge/transport/OneLoopTransport.java
+++ b/src/main/java/ottergauge/transport/OneLoopTransport.java
@@ -2,7 +2,10 @@
 package ottergauge.transport;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.nio.NioIoHandler;
 import io.vertx.core.impl.transports.NioTransport;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.concurrent.ThreadFactory;
 
 /**
@@ -12,8 +15,19 @@
  */
 final class OneLoopTransport extends NioTransport {
 
+    private final LoopWatch watch;
     private EventLoopGroup group;
 
+    /** {@code watch} is told of each of the loop's rounds. */
+    OneLoopTransport(LoopWatch watch) {
+        this.watch = watch;
+    }
+
+    @Override
+    public IoHandlerFactory ioHandlerFactory() {
+        return NioIoHandler.newFactory(SelectorProvider.provider(), () -> watch);
+    }
+
     @Override
     public EventLoopGroup eventLoopGroup(int type, int threads, ThreadFactory factory, int ioRatio) {
         if (group == null) {
--- a/src/main/java/ottergauge/transport/Rehearsal.java
+++ b/src/main/java/ottergauge/transport/Rehearsal.java
@@ -53,7 +53,7 @@
         answer("503 Service Unavailable", Headers.NEVER_RAN + ": 1\r\n");
 
     private final EventQueue events = new EventQueue(this::handle);
-    private final ClientSide clients = new ClientSide(events::take);
+    private final ClientSide clients = new ClientSide(new LoopWatch(() -> 0), events::take);
     private final ServerSide servers = new ServerSide(this::connect, events::take);
     private final List<EmbeddedChannel> opened = new ArrayList<>();
     private final List<RequestClass> classes;
@@ -97,7 +97,7 @@
         long from = System.nanoTime();
         router.start(now);
         EmbeddedChannel client = new EmbeddedChannel();
-        clients.adopt(client.pipeline());
+        clients.adopt(client.pipeline(), 0);
         int requests = 0;
         while (requests < most && System.nanoTime() - from < longest) {
             now += PACE;
--- a/src/test/java/ottergauge/program/RunningNode.java
+++ b/src/test/java/ottergauge/program/RunningNode.java
@@ -108,7 +108,11 @@
     /** Replaces the configuration and sends SIGHUP. */
     void hangUp(String config) throws IOException, InterruptedException {
         Files.writeString(file, config);
-        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        signal("HUP");
+    }
+
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
     }
 
     Client client() throws IOException {
--- a/src/test/java/ottergauge/routing/RouterDriver.java
+++ b/src/test/java/ottergauge/routing/RouterDriver.java
@@ -106,7 +106,7 @@
 
     void request(long client, String requestClass, long expiresInMs) {
         tell(new Event.RequestBegan(client));
-        tell(new Event.RequestRead(client, ask(requestClass, "id-" + ++lastRequest, expiresInMs)));
+        tell(new Event.RequestRead(client, ask(requestClass, "id-" + ++lastRequest, expiresInMs), 0));
     }
 
     /** A request as its class wants it. */
--- a/src/test/java/ottergauge/routing/RouterTest.java
+++ b/src/test/java/ottergauge/routing/RouterTest.java
@@ -136,13 +136,28 @@
         other.tell(new Event.RequestBegan(late));
         other.pass(300);
         other.tell(new Event.RequestRead(late, new Event.ClientRequest(
-            new RequestFields("id", "read", 200, false, null), "GET", "/api", Content.NONE)));
+            new RequestFields("id", "read", 200, false, null), "GET", "/api", Content.NONE), 0));
         // It took longer to come than it waits: its time only begins now.
         other.expectNo(Respond.class);
         other.pass(200);
         assertEquals(503, other.status(late));
     }
 
+    /** Guards against a node that stood still taking what came meanwhile for new. */
+    @Test
+    void aRequestThatWaitedToBeReadHasSoMuchLessTime() {
+        RouterDriver node = one();
+        long over = node.client();
+        node.tell(new Event.RequestRead(over, RouterDriver.ask("grant", "over", 300), 400_000));
+        assertEquals(503, node.status(over));
+        node.expectNo(Connect.class);
+        long late = node.client();
+        node.tell(new Event.RequestRead(late, RouterDriver.ask("read", "late", 1000), 400_000));
+        node.connectNext();
+        node.pass(600);
+        assertEquals(503, node.status(late));
+    }
+
     private static long forwarded(RouterDriver node, long most) {
         Forward forward = node.connectNext();
         assertTrue(forward.waits() <= most, "waits " + forward.waits());
@@ -323,10 +338,10 @@
     void anIdThatIsOpenHereIsNotTakenASecondTime() {
         RouterDriver node = one();
         long first = node.client();
-        node.tell(new Event.RequestRead(first, RouterDriver.ask("pay", "same", 1000)));
+        node.tell(new Event.RequestRead(first, RouterDriver.ask("pay", "same", 1000), 0));
         Forward forward = node.connectNext();
         long second = node.client();
-        node.tell(new Event.RequestRead(second, RouterDriver.ask("pay", "same", 1000)));
+        node.tell(new Event.RequestRead(second, RouterDriver.ask("pay", "same", 1000), 0));
         Respond refused = node.expect(Respond.class);
         assertEquals(409, refused.status());
         assertEquals(second, refused.client());
@@ -334,7 +349,7 @@
         node.serve(forward);
         assertEquals(200, node.status(first));
         long third = node.client();
-        node.tell(new Event.RequestRead(third, RouterDriver.ask("pay", "same", 1000)));
+        node.tell(new Event.RequestRead(third, RouterDriver.ask("pay", "same", 1000), 0));
         node.serve(node.expect(Forward.class));
         assertEquals(200, node.status(third));
     }
@@ -348,7 +363,7 @@
         long client = node.client();
         node.tell(new Event.RequestRead(client, new Event.ClientRequest(
             new RequestFields("id", requestClass, 1000, false, key), method, "/api",
-            new Content(null, new byte[length]))));
+            new Content(null, new byte[length])), 0));
         assertEquals(400, node.status(client));
         node.expectNo(Connect.class);
     }
