A laboratory: fleets of nodes against stand-ins with faults between them and a ledger over all

lab/ is a Maven project of its own that meets the node over sockets. Weighed: a relay process between all pairs costs a second hop and accepts where a dead process refuses; here the stand-in's own end of each connection is the link.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,11 @@
 
 test:
 	mvn -B verify
+	mvn -B -f lab/pom.xml verify
 
 lint:
 	mvn -q -B checkstyle:check test -Dtest=ArchitectureTest
+	mvn -q -B -f lab/pom.xml checkstyle:check
 
 # One node by the line of deploy/balancer.toml: make run CONFIG=/path/to/config.json
 run: build
@@ -17,3 +19,4 @@
 
 clean:
 	mvn -q clean
+	mvn -q -f lab/pom.xml clean
--- /dev/null
+++ b/lab/src/main/java/ottergauge/lab/client/Dialer.java
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.client;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.IntConsumer;
+import ottergauge.lab.net.Link;
+import ottergauge.lab.net.LinkHandler;
+import ottergauge.lab.net.Loop;
+
+/** Opens connections to nodes, each over its link. */
+final class Dialer {
+
+    private static final int MOST_BODY = 1 << 20;
+    private static final int CONNECT_WITHIN_MS = 1_000;
+
+    private final Loop loop;
+    private final List<InetSocketAddress> nodes;
+    private final List<Link> links;
+
+    /** Nodes are numbered from one: the lists' first entries are node 1's. */
+    Dialer(Loop loop, List<InetSocketAddress> nodes, List<Link> links) {
+        this.loop = loop;
+        this.nodes = nodes;
+        this.links = links;
+    }
+
+    /** Connects to a node; the handler sits behind HTTP's codec. */
+    ChannelFuture connect(int node, ChannelHandler handler) {
+        Link link = links.get(node - 1);
+        return new Bootstrap().group(loop.netty()).channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_WITHIN_MS)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new LinkHandler(loop, link, true), new HttpClientCodec(),
+                        new HttpObjectAggregator(MOST_BODY), handler);
+                }
+            }).connect(nodes.get(node - 1));
+    }
+
+    /** Asks a node one thing on a connection of its own; the status, or 0 if no answer came in time. */
+    void ask(int node, FullHttpRequest request, long within, IntConsumer answered) {
+        ChannelFuture connecting = connect(node, new SimpleChannelInboundHandler<FullHttpResponse>() {
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+                answered.accept(response.status().code());
+                ctx.close();
+            }
+
+            @Override
+            public void channelActive(ChannelHandlerContext ctx) {
+                ctx.writeAndFlush(request);
+            }
+
+            @Override
+            public void channelInactive(ChannelHandlerContext ctx) {
+                answered.accept(0);
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                ctx.close();
+            }
+        });
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                answered.accept(0);
+            }
+        });
+        loop.after(within, () -> {
+            answered.accept(0);
+            connecting.channel().close();
+        });
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ottergauge/lab/client/Plan.java
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.client;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.DoubleSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.LogNormalSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.apache.commons.rng.simple.RandomSource;
+import ottergauge.lab.scenario.Scenario;
+import ottergauge.lab.scenario.Scenario.RequestClass;
+import ottergauge.lab.scenario.Scenario.Tenant;
+
+/** All requests of a play, drawn from its seed before it begins: what nodes do changes none of them. */
+public final class Plan {
+
+    /** A request to come; {@code obeys} says that its client follows advice. */
+    public record Request(int number, long at, int requestClass, int tenant, int key, long work,
+                          boolean obeys) { }
+
+    private Plan() {
+    }
+
+    public static List<Request> draw(Scenario scenario) {
+        UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(scenario.seed());
+        ZigguratSampler.Exponential gap = ZigguratSampler.Exponential.of(random);
+        List<DoubleSupplier> work = new ArrayList<>();
+        for (RequestClass type : scenario.classes()) {
+            work.add(work(type, random));
+        }
+        double[] classes = scenario.classes().stream().mapToDouble(RequestClass::share).toArray();
+        double[] tenants = scenario.tenants().stream().mapToDouble(Tenant::traffic).toArray();
+        List<Request> requests = new ArrayList<>();
+        double at = 0;
+        while (at < scenario.length()) {
+            double rate = scenario.rateAt((long) at) * scenario.capacity();
+            if (rate <= 0) {
+                at += 1_000;
+                continue;
+            }
+            at += gap.sample() * 1e6 / rate;
+            int type = pick(classes, random);
+            // A few keys are far more popular than the rest: the square of a uniform draw.
+            double draw = random.nextDouble();
+            int key = (int) (draw * draw * scenario.classes().get(type).keys());
+            if (at < scenario.length()) {
+                requests.add(new Request(requests.size(), (long) at, type,
+                    tenants.length == 0 ? -1 : pick(tenants, random), key,
+                    Math.max(100, Math.round(work.get(type).getAsDouble())),
+                    random.nextDouble() < scenario.clients().obey()));
+            }
+        }
+        return requests;
+    }
+
+    // Log-normal, by its mean and its coefficient of variation.
+    private static DoubleSupplier work(RequestClass type, UniformRandomProvider random) {
+        if (type.spread() == 0) {
+            return type::work;
+        }
+        double variance = Math.log(1 + type.spread() * type.spread());
+        LogNormalSampler sampler = new LogNormalSampler(ZigguratSampler.NormalizedGaussian.of(random),
+            Math.log(type.work()) - variance / 2, Math.sqrt(variance));
+        return sampler::sample;
+    }
+
+    private static int pick(double[] shares, UniformRandomProvider random) {
+        double sum = 0;
+        for (double share : shares) {
+            sum += share;
+        }
+        double left = random.nextDouble() * sum;
+        for (int i = 0; i < shares.length; i++) {
+            left -= shares[i];
+            if (left < 0) {
+                return i;
+            }
+        }
+        return shares.length - 1;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ottergauge/lab/ledger/Ledger.java
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.ledger;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the stand-ins and clients saw, in the order in which they saw it: the only thing that the checker and
+ * the figures go by. No node writes here. Instants are microseconds from the start of the load.
+ */
+public final class Ledger {
+
+    /** A request as it was drawn: its first try and all further ones count as one. */
+    public static final class Ask {
+        public final int number;
+        public final int requestClass;
+        public final int tenant;
+        public final long intendedAt;
+        public final long work;
+        public final List<Try> tries = new ArrayList<>(1);
+
+        public Ask(int number, int requestClass, int tenant, long intendedAt, long work) {
+            this.number = number;
+            this.requestClass = requestClass;
+            this.tenant = tenant;
+            this.intendedAt = intendedAt;
+            this.work = work;
+        }
+
+        /** The instant at which an answer came in a try's time that served it, or -1. */
+        public long servedAt() {
+            return tries.stream().filter(t -> t.status == 200 && t.answeredAt <= t.sentAt + t.waits)
+                .mapToLong(t -> t.answeredAt).min().orElse(-1);
+        }
+    }
+
+    /** How a try ended where no status says it. */
+    public static final int OPEN = 0;
+    public static final int BROKEN = -1;
+    public static final int NO_CONNECTION = -2;
+
+    /** One request on the wire, with an id of its own. */
+    public static final class Try {
+        public final Ask ask;
+        public final String id;
+        public final int node;
+        /** How long the client waits for its answer. */
+        public final long waits;
+        /** When the last byte was written to the node, or -1. */
+        public long sentAt = -1;
+        /** When its last answer came, or its connection ended; -1 if neither has. */
+        public long answeredAt = -1;
+        /** When the client stopped waiting, or -1. */
+        public long gaveUpAt = -1;
+        public int status = OPEN;
+        /** The advice on when to come back, or -1. */
+        public long advice = -1;
+        public int answers;
+        /** Whether the body is what a server made for this try. */
+        public boolean genuine = true;
+        /** Whether it was the first that its connection carried. */
+        public boolean fresh;
+        public final List<Attempt> attempts = new ArrayList<>(1);
+
+        public Try(Ask ask, String id, int node, long waits) {
+            this.ask = ask;
+            this.id = id;
+            this.node = node;
+            this.waits = waits;
+        }
+    }
+
+    /** One request that reached a server whole. */
+    public static final class Attempt {
+        public final Try of;
+        public final int node;
+        public final String server;
+        public final long firstByteAt;
+        public final long at;
+        public long beganAt = -1;
+        public long endedAt = -1;
+        public String end = "open";
+
+        public Attempt(Try of, int node, String server, long firstByteAt, long at) {
+            this.of = of;
+            this.node = node;
+            this.server = server;
+            this.firstByteAt = firstByteAt;
+            this.at = at;
+        }
+    }
+
+    /** An effect that a request had at a server, by what must not happen twice. */
+    public record Effect(long at, String key, String group, String server, Attempt attempt) { }
+
+    /** What costs a server or discovery something beside requests. */
+    public enum Cost { PROBE, HANDSHAKE, LIST_CALL, LIST_CALL_FAILED, TURNED_AWAY }
+
+    public record Paid(long at, Cost cost, int node, String target) { }
+
+    /** Something that happened to a process: a fault, a start, a state. */
+    public record Happening(long at, String who, String what) { }
+
+    /** A server's time under one id: when it began to drain for each node, when it went. */
+    public static final class Life {
+        public final String server;
+        public final String zone;
+        public final long bornAt;
+        public final boolean cold;
+        /** When each node was told that it drains. */
+        public final Map<Integer, Long> toldAt = new LinkedHashMap<>();
+        public long fellAt = -1;
+
+        public Life(String server, String zone, long bornAt, boolean cold) {
+            this.server = server;
+            this.zone = zone;
+            this.bornAt = bornAt;
+            this.cold = cold;
+        }
+    }
+
+    public final List<Ask> asks = new ArrayList<>();
+    public final Map<String, Try> tries = new LinkedHashMap<>();
+    public final List<Attempt> attempts = new ArrayList<>();
+    public final List<Effect> effects = new ArrayList<>();
+    public final List<Paid> paid = new ArrayList<>();
+    public final List<Happening> happenings = new ArrayList<>();
+    public final Map<String, Life> lives = new LinkedHashMap<>();
+    /** Attempts whose id no client sent: a server took something that nobody asked for. */
+    public final List<Happening> strangers = new ArrayList<>();
+
+    public void happens(long at, String who, String what) {
+        happenings.add(new Happening(at, who, what));
+    }
+
+    public void pays(long at, Cost cost, int node, String target) {
+        paid.add(new Paid(at, cost, node, target));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ottergauge/lab/net/Addresses.java
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+
+/**
+ * The loopback addresses of one play: each node reaches each server, discovery and each other node under an
+ * address of its own, so that the stand-in at the other end knows which link a connection came over.
+ */
+public record Addresses(int net, int port) {
+
+    private static final int FIRST_NET = 64;
+    private static final int LAST_NET = 250;
+    private static final int LOWEST_PORT = 20_000;
+    private static final int PORTS = 10_000;
+    private static final int NODES = 1;
+    private static final int REGISTRY = 4;
+    private static final int BY_NODE = 100;
+
+    /**
+     * Addresses that no other play uses: the socket given back holds them until it is closed. Ports are below
+     * the range that the system gives out by itself.
+     */
+    public static ServerSocket reserve() throws IOException {
+        for (int net = FIRST_NET; net <= LAST_NET; net++) {
+            int port = LOWEST_PORT + (int) ((ProcessHandle.current().pid() * 31 + net * 97L) % PORTS);
+            ServerSocket lock = new ServerSocket();
+            try {
+                lock.bind(new InetSocketAddress("127." + net + ".0.1", LOWEST_PORT - 1));
+                try (ServerSocket free = new ServerSocket()) {
+                    free.bind(new InetSocketAddress("127." + net + ".0.1", port));
+                }
+                return lock;
+            } catch (IOException e) {
+                lock.close();
+            }
+        }
+        throw new IOException("no free range of loopback addresses");
+    }
+
+    public static Addresses of(ServerSocket lock) {
+        int net = lock.getInetAddress().getAddress()[1] & 0xff;
+        return new Addresses(net,
+            LOWEST_PORT + (int) ((ProcessHandle.current().pid() * 31 + net * 97L) % PORTS));
+    }
+
+    private InetSocketAddress at(int third, int fourth, int toPort) {
+        return new InetSocketAddress("127." + net + "." + third + "." + fourth, toPort);
+    }
+
+    /** Where a node listens for clients. */
+    public InetSocketAddress node(int node) {
+        return at(NODES, node, port);
+    }
+
+    /** Where one node finds one server. */
+    public InetSocketAddress server(int node, int server) {
+        return at(BY_NODE + node, server, port);
+    }
+
+    /** Where a node finds discovery. */
+    public InetSocketAddress registry(int node) {
+        return at(REGISTRY, node, port);
+    }
+
+    /** Where a node listens for what other nodes tell it. */
+    public InetSocketAddress peer(int node) {
+        return at(NODES, node, port + 1);
+    }
+
+    /** Where one node finds another. */
+    public InetSocketAddress peer(int node, int other) {
+        return at(BY_NODE + node, other, port + 1);
+    }
+
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ottergauge/lab/net/Listener.java
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * An address at which a stand-in is connected to over one link. Open, it accepts; refusing, nothing listens;
+ * silent, a listener that accepts nothing has its short queue filled by the rig itself, so that the system
+ * answers no further connection, as if the machine were gone.
+ */
+public final class Listener {
+
+    private static final int BACKLOG = 1024;
+    private static final int SHORT_BACKLOG = 1;
+    private static final int FILLING = 3;
+    private static final long AGAIN = 1_000;
+
+    private final Loop loop;
+    private final InetSocketAddress address;
+    private final Link link;
+    private final Consumer<ChannelPipeline> accepted;
+    private final List<Socket> filling = new ArrayList<>();
+    private Channel channel;
+    private ServerSocket silent;
+    private boolean up = true;
+    private long moves;
+    private boolean closed;
+
+    /**
+     * Listens at once, not on the loop; {@code accepted} gets the pipeline of each connection, behind its
+     * link.
+     */
+    public Listener(Loop loop, InetSocketAddress address, Link link, Consumer<ChannelPipeline> accepted)
+            throws IOException {
+        this.loop = loop;
+        this.address = address;
+        this.link = link;
+        this.accepted = accepted;
+        link.whenDoorMoves(this::move);
+        ChannelFuture bound = open().awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + Addresses.text(address), bound.cause());
+        }
+    }
+
+    /** The process that listens here is gone, or back. */
+    public void up(boolean lives) {
+        if (up != lives) {
+            up = lives;
+            move();
+        }
+    }
+
+    private void move() {
+        close();
+        settle(++moves);
+    }
+
+    // The system gives an address back a moment after it was closed: until then it is tried again.
+    private void settle(long move) {
+        if (closed || move != moves) {
+            return;
+        }
+        Runnable again = () -> loop.after(AGAIN, () -> settle(move));
+        if (link.door() == Link.Door.SILENT) {
+            try {
+                silence();
+            } catch (IOException e) {
+                closeQuietly(silent);
+                again.run();
+            }
+        } else if (up && link.door() == Link.Door.OPEN) {
+            open().addListener(bound -> {
+                if (!bound.isSuccess()) {
+                    again.run();
+                }
+            });
+        }
+    }
+
+    private ChannelFuture open() {
+        ChannelFuture bound = new ServerBootstrap().group(loop.netty()).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<>() {
+                @Override
+                protected void initChannel(Channel connection) {
+                    connection.pipeline().addLast(new LinkHandler(loop, link, false));
+                    accepted.accept(connection.pipeline());
+                }
+            }).bind(address);
+        channel = bound.channel();
+        return bound;
+    }
+
+    private void silence() throws IOException {
+        silent = new ServerSocket();
+        silent.setReuseAddress(true);
+        silent.bind(address, SHORT_BACKLOG);
+        for (int i = 0; i < FILLING; i++) {
+            Socket socket = new Socket();
+            filling.add(socket);
+            try {
+                socket.connect(address, 1);
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void close() {
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+        closeQuietly(silent);
+        silent = null;
+        for (Socket socket : filling) {
+            closeQuietly(socket);
+        }
+        filling.clear();
+    }
+
+    private static void closeQuietly(Closeable each) {
+        try {
+            if (each != null) {
+                each.close();
+            }
+        } catch (IOException e) {
+            // It was there to be in the way, and is not any more.
+        }
+    }
+
+    /** Ends for good. */
+    public void end() {
+        closed = true;
+        close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ottergauge/lab/net/Loop.java
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+
+/**
+ * The rig's one thread and its clock: stand-ins, faults and clients all run on it, in turn. It counts how
+ * late it is with what it was to do: a rig that ran late has measured itself.
+ */
+public final class Loop implements AutoCloseable {
+
+    private static final long MOST_LATE = TimeUnit.MINUTES.toMicros(10);
+    private static final long MICROS = 1_000;
+
+    private final MultiThreadIoEventLoopGroup group;
+    private final EventLoop loop;
+    private final Histogram lateness = new Histogram(MOST_LATE, 3);
+    private long origin = System.nanoTime();
+
+    public Loop() {
+        group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("rig", true),
+            NioIoHandler.newFactory());
+        loop = group.next();
+    }
+
+    public EventLoop netty() {
+        return loop;
+    }
+
+    /** From here on instants count from now, and lateness is counted anew: on the loop only. */
+    public void begin() {
+        origin = System.nanoTime();
+        lateness.reset();
+    }
+
+    /** Microseconds since the beginning; negative before it. */
+    public long now() {
+        return (System.nanoTime() - origin) / MICROS;
+    }
+
+    /** Does something at an instant, or at once if that has passed. */
+    public void at(long instant, Runnable task) {
+        loop.schedule(() -> {
+            lateness.recordValue(Math.min(MOST_LATE, Math.max(0, now() - instant)));
+            task.run();
+        }, Math.max(0, instant - now()), TimeUnit.MICROSECONDS);
+    }
+
+    public void after(long span, Runnable task) {
+        at(now() + span, task);
+    }
+
+    /** How late things were done, in microseconds. */
+    public Histogram lateness() {
+        return lateness;
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(5, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ottergauge/lab/node/Signals.java
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.node;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+
+/** Sends signals through one shell that stays: nothing is started for each. */
+public final class Signals implements AutoCloseable {
+
+    private final Process shell;
+    private final OutputStream orders;
+
+    public Signals() throws IOException {
+        shell = new ProcessBuilder("/bin/sh", "-c", "while read s p; do kill -$s $p 2>/dev/null; done")
+            .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        orders = shell.getOutputStream();
+    }
+
+    /** Sends a signal by its short name, such as KILL or STOP. */
+    public synchronized void send(String signal, long pid) {
+        try {
+            orders.write((signal + " " + pid + "\n").getBytes(StandardCharsets.US_ASCII));
+            orders.flush();
+        } catch (IOException e) {
+            throw new IllegalStateException("no signal can be sent any more", e);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        orders.close();
+        shell.destroy();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ottergauge/lab/program/Main.java
@@ -0,0 +1,19 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.program;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The laboratory's command line. */
+@Command(name = "lab", mixinStandardHelpOptions = true, version = "ottergauge-lab 0.1.0",
+    description = "Plays fleets of nodes against stand-ins with faults between them.",
+    subcommands = {RunCommand.class})
+public final class Main {
+
+    private Main() {
+    }
+
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new Main()).execute(arguments));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ottergauge/lab/scenario/Entry.java
@@ -0,0 +1,238 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.scenario;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.snakeyaml.engine.v2.nodes.MappingNode;
+import org.snakeyaml.engine.v2.nodes.Node;
+import org.snakeyaml.engine.v2.nodes.NodeTuple;
+import org.snakeyaml.engine.v2.nodes.ScalarNode;
+import org.snakeyaml.engine.v2.nodes.SequenceNode;
+
+/**
+ * A mapping of a scenario file that knows its lines. Each value is asked for with what it may be; what nobody
+ * asked for is an unknown key and is told by {@link #done}.
+ */
+final class Entry {
+
+    /** What a number may be. */
+    record Range(double least, double most, String words) {
+        static final Range PART = new Range(0, 1, "a part from 0 to 1");
+        static final Range POSITIVE = new Range(1e-9, 1e9, "a number over 0");
+        static final Range ANY = new Range(0, 1e9, "a number of 0 or more");
+        static final Range COUNT = new Range(1, 100_000, "a whole number of 1 or more");
+    }
+
+    private static final Map<String, Double> UNITS = Map.of("us", 1.0, "ms", 1e3, "s", 1e6, "min", 60e6);
+
+    private final String file;
+    private final int line;
+    private final Map<String, Node> values = new LinkedHashMap<>();
+    private final Set<String> asked = new HashSet<>();
+
+    private Entry(String file, int line) {
+        this.file = file;
+        this.line = line;
+    }
+
+    static Entry of(String file, Node node) throws ScenarioException {
+        int line = line(node);
+        if (!(node instanceof MappingNode mapping)) {
+            throw new ScenarioException(file + ":" + line + ": expected keys with values");
+        }
+        Entry entry = new Entry(file, line);
+        for (NodeTuple tuple : mapping.getValue()) {
+            if (!(tuple.getKeyNode() instanceof ScalarNode key)) {
+                throw new ScenarioException(file + ":" + line(tuple.getKeyNode()) + ": a key is a word");
+            }
+            if (entry.values.put(key.getValue(), tuple.getValueNode()) != null) {
+                throw new ScenarioException(file + ":" + line(key) + ": " + key.getValue() + ": given twice");
+            }
+        }
+        return entry;
+    }
+
+    private static int line(Node node) {
+        return node.getStartMark().map(mark -> mark.getLine() + 1).orElse(0);
+    }
+
+    ScenarioException fault(String key, String allowed) {
+        Node node = values.get(key);
+        String told = node instanceof ScalarNode scalar ? ", not " + scalar.getValue() : "";
+        return new ScenarioException(file + ":" + (node == null ? line : line(node)) + ": " + key + ": "
+            + (node == null ? "missing; " : "") + allowed + told);
+    }
+
+    boolean has(String key) {
+        asked.add(key);
+        return values.containsKey(key);
+    }
+
+    private String scalar(String key, String allowed) throws ScenarioException {
+        asked.add(key);
+        if (!(values.get(key) instanceof ScalarNode scalar)) {
+            throw fault(key, allowed);
+        }
+        return scalar.getValue();
+    }
+
+    String text(String key) throws ScenarioException {
+        String text = scalar(key, "a word");
+        if (text.isBlank()) {
+            throw fault(key, "a word");
+        }
+        return text;
+    }
+
+    String text(String key, String absent) throws ScenarioException {
+        return has(key) ? text(key) : absent;
+    }
+
+    <E extends Enum<E>> E oneOf(String key, Class<E> kind, E absent) throws ScenarioException {
+        if (absent != null && !has(key)) {
+            return absent;
+        }
+        List<String> names = new ArrayList<>();
+        for (E each : kind.getEnumConstants()) {
+            names.add(each.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'));
+        }
+        String allowed = "one of " + String.join(", ", names);
+        int index = names.indexOf(scalar(key, allowed));
+        if (index < 0) {
+            throw fault(key, allowed);
+        }
+        return kind.getEnumConstants()[index];
+    }
+
+    double number(String key, Range range) throws ScenarioException {
+        try {
+            double value = Double.parseDouble(scalar(key, range.words()));
+            if (value >= range.least() && value <= range.most()) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // Told below, as what is out of its range is.
+        }
+        throw fault(key, range.words());
+    }
+
+    double number(String key, Range range, double absent) throws ScenarioException {
+        return has(key) ? number(key, range) : absent;
+    }
+
+    int count(String key) throws ScenarioException {
+        double value = number(key, Range.COUNT);
+        if (value != Math.rint(value)) {
+            throw fault(key, Range.COUNT.words());
+        }
+        return (int) value;
+    }
+
+    int count(String key, int absent) throws ScenarioException {
+        return has(key) ? count(key) : absent;
+    }
+
+    long whole(String key, long absent) throws ScenarioException {
+        if (!has(key)) {
+            return absent;
+        }
+        String allowed = "a whole number";
+        try {
+            return Long.parseLong(scalar(key, allowed));
+        } catch (NumberFormatException e) {
+            throw fault(key, allowed);
+        }
+    }
+
+    boolean flag(String key, boolean absent) throws ScenarioException {
+        if (!has(key)) {
+            return absent;
+        }
+        String text = scalar(key, "true or false");
+        if (!"true".equals(text) && !"false".equals(text)) {
+            throw fault(key, "true or false");
+        }
+        return "true".equals(text);
+    }
+
+    /** A span with its unit, in microseconds. */
+    long span(String key) throws ScenarioException {
+        String allowed = "a time with its unit, such as 250ms or 1.5s";
+        String text = scalar(key, allowed).trim();
+        int digits = 0;
+        while (digits < text.length() && "0123456789.".indexOf(text.charAt(digits)) >= 0) {
+            digits++;
+        }
+        Double unit = UNITS.get(text.substring(digits).trim());
+        try {
+            if (unit != null) {
+                return Math.round(Double.parseDouble(text.substring(0, digits)) * unit);
+            }
+        } catch (NumberFormatException e) {
+            // Told below.
+        }
+        throw fault(key, allowed);
+    }
+
+    long span(String key, long absent) throws ScenarioException {
+        return has(key) ? span(key) : absent;
+    }
+
+    Entry child(String key) throws ScenarioException {
+        asked.add(key);
+        Node node = values.get(key);
+        if (node == null) {
+            throw fault(key, "keys with values");
+        }
+        return of(file, node);
+    }
+
+    /** A mapping that may be left out: all of it then takes what is usual. */
+    Entry childOrNone(String key) throws ScenarioException {
+        return has(key) ? child(key) : new Entry(file, line);
+    }
+
+    List<Entry> children(String key) throws ScenarioException {
+        asked.add(key);
+        List<Entry> children = new ArrayList<>();
+        if (values.get(key) instanceof SequenceNode list) {
+            for (Node each : list.getValue()) {
+                children.add(of(file, each));
+            }
+        } else if (has(key)) {
+            throw fault(key, "a list");
+        }
+        return children;
+    }
+
+    List<String> texts(String key) throws ScenarioException {
+        asked.add(key);
+        List<String> texts = new ArrayList<>();
+        if (values.get(key) instanceof SequenceNode list) {
+            for (Node each : list.getValue()) {
+                if (!(each instanceof ScalarNode scalar)) {
+                    throw fault(key, "a list of words");
+                }
+                texts.add(scalar.getValue());
+            }
+        } else if (has(key)) {
+            texts.add(scalar(key, "a word or a list of words"));
+        }
+        return texts;
+    }
+
+    /** Names the first key that nobody asked for. */
+    void done(String... known) throws ScenarioException {
+        asked.addAll(List.of(known));
+        for (String key : values.keySet()) {
+            if (!asked.contains(key)) {
+                throw new ScenarioException(file + ":" + line(values.get(key)) + ": " + key
+                    + ": unknown key; known here: " + String.join(", ", new java.util.TreeSet<>(asked)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/ottergauge/lab/scenario/ScenarioReader.java
@@ -0,0 +1,270 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.scenario;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.snakeyaml.engine.v2.api.LoadSettings;
+import org.snakeyaml.engine.v2.api.lowlevel.Compose;
+import org.snakeyaml.engine.v2.exceptions.MarkedYamlEngineException;
+import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
+import org.snakeyaml.engine.v2.nodes.Node;
+import ottergauge.lab.scenario.Entry.Range;
+import ottergauge.lab.scenario.Scenario.Clients;
+import ottergauge.lab.scenario.Scenario.Effect;
+import ottergauge.lab.scenario.Scenario.Fault;
+import ottergauge.lab.scenario.Scenario.Group;
+import ottergauge.lab.scenario.Scenario.LoadStep;
+import ottergauge.lab.scenario.Scenario.Network;
+import ottergauge.lab.scenario.Scenario.Nodes;
+import ottergauge.lab.scenario.Scenario.Platform;
+import ottergauge.lab.scenario.Scenario.Registry;
+import ottergauge.lab.scenario.Scenario.RequestClass;
+import ottergauge.lab.scenario.Scenario.ServerKind;
+import ottergauge.lab.scenario.Scenario.Tenant;
+import ottergauge.lab.scenario.Scenario.Way;
+import ottergauge.lab.scenario.Scenario.What;
+
+/** Reads scenarios from YAML and checks them whole before anything is started. */
+public final class ScenarioReader {
+
+    // Loopback addresses have one byte for a server and one for a node.
+    private static final int MOST_NODES = 99;
+    private static final int MOST_SERVERS = 199;
+    private static final long MS = 1_000;
+    private static final long S = 1_000_000;
+
+    private final String file;
+
+    private ScenarioReader(String file) {
+        this.file = file;
+    }
+
+    public static Scenario read(Path path) throws ScenarioException, IOException {
+        return read(path.getFileName().toString(), Files.readString(path));
+    }
+
+    /** Reads a scenario's text; {@code file} is what messages call it. */
+    public static Scenario read(String file, String text) throws ScenarioException {
+        Node root;
+        try {
+            root = new Compose(LoadSettings.builder().setLabel(file).build())
+                .composeReader(new StringReader(text))
+                .orElseThrow(() -> new ScenarioException(file + ":1: expected keys with values"));
+        } catch (MarkedYamlEngineException e) {
+            int line = e.getProblemMark().map(mark -> mark.getLine() + 1).orElse(0);
+            throw new ScenarioException(file + ":" + line + ": no YAML: " + e.getProblem());
+        } catch (YamlEngineException e) {
+            throw new ScenarioException(file + ": no YAML: " + e.getMessage());
+        }
+        return new ScenarioReader(file).scenario(Entry.of(file, root));
+    }
+
+    private Scenario scenario(Entry root) throws ScenarioException {
+        List<String> zones = root.texts("zones");
+        if (zones.isEmpty()) {
+            zones = List.of("a");
+        }
+        long length = root.span("length");
+        Scenario scenario = new Scenario(root.text("name"), root.whole("seed", 1), length, zones,
+            nodes(root.child("nodes")), servers(root), classes(root), tenants(root),
+            clients(root.childOrNone("clients")), load(root, length), network(root.childOrNone("network")),
+            registry(root.childOrNone("registry")), platform(root.childOrNone("platform")),
+            faults(root, length));
+        root.done();
+        checkTargets(scenario);
+        return scenario;
+    }
+
+    private Nodes nodes(Entry e) throws ScenarioException {
+        Nodes nodes = new Nodes(e.count("count"), e.count("memory_mb", 192), e.count("sockets", 1024),
+            e.number("cores", new Range(0.05, 1, "a part of a core from 0.05 to 1"), 1),
+            e.number("busiest", Range.POSITIVE, 1), e.flag("talk", false));
+        if (nodes.count() > MOST_NODES) {
+            throw e.fault("count", "at most " + MOST_NODES + " nodes");
+        }
+        e.done();
+        return nodes;
+    }
+
+    private List<ServerKind> servers(Entry root) throws ScenarioException {
+        List<ServerKind> kinds = new ArrayList<>();
+        int servers = 0;
+        for (Entry e : root.children("servers")) {
+            int cores = e.count("cores", 1);
+            kinds.add(new ServerKind(e.text("kind", "std"), e.count("count"), cores,
+                e.number("speed", Range.POSITIVE, 1), e.number("spread", Range.PART, 0),
+                e.count("slots", cores), (int) e.number("queue", Range.ANY, 8.0 * cores),
+                e.span("early_full", 0), e.number("cold_from", Range.PART, 0.3), e.span("cold_for", 6 * S),
+                e.count("connections", 600), e.span("handshake", 100), e.span("probe", 40),
+                e.number("errors", Range.PART, 0), e.flag("reports", true)));
+            e.done();
+            servers += kinds.get(kinds.size() - 1).count();
+            if (servers > MOST_SERVERS) {
+                throw e.fault("count", "at most " + MOST_SERVERS + " servers in all");
+            }
+        }
+        if (kinds.isEmpty()) {
+            throw root.fault("servers", "a list of at least one kind");
+        }
+        return kinds;
+    }
+
+    private List<RequestClass> classes(Entry root) throws ScenarioException {
+        List<RequestClass> classes = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (Entry e : root.children("classes")) {
+            Effect effect = e.oneOf("effect", Effect.class, Effect.SAFE);
+            RequestClass type = new RequestClass(e.text("name"), e.number("share", Range.POSITIVE, 1),
+                e.span("work"), e.number("spread", new Range(0, 3, "a number from 0 to 3"), 0.5),
+                e.span("waits", 0), e.span("aim"), e.span("deadline"), e.number("worth", Range.POSITIVE, 1),
+                e.number("late_worth", Range.PART, 0), effect, e.oneOf("group", Group.class, Group.ALL),
+                effect == Effect.KEYED ? e.span("window") : e.span("window", 0), e.count("keys", 1000));
+            e.done();
+            if (type.deadline() < type.aim()) {
+                throw e.fault("deadline", "a time not before the aim");
+            }
+            if (!names.add(type.name())) {
+                throw e.fault("name", "a name of its own");
+            }
+            classes.add(type);
+        }
+        if (classes.isEmpty()) {
+            throw root.fault("classes", "a list of at least one class");
+        }
+        return classes;
+    }
+
+    private List<Tenant> tenants(Entry root) throws ScenarioException {
+        List<Tenant> tenants = new ArrayList<>();
+        for (Entry e : root.children("tenants")) {
+            double traffic = e.number("traffic", Range.POSITIVE);
+            tenants.add(new Tenant(e.text("name"), traffic, e.number("portion", Range.POSITIVE, traffic)));
+            e.done();
+        }
+        return tenants;
+    }
+
+    private Clients clients(Entry e) throws ScenarioException {
+        Clients clients = new Clients((int) e.number("repeats", Range.ANY, 0), e.span("pause", 50 * MS),
+            e.number("obey", Range.PART, 0.3), e.number("try_part", Range.PART, 0.55),
+            e.flag("marks_retry", false), e.span("notice", 2 * S));
+        e.done();
+        return clients;
+    }
+
+    private List<LoadStep> load(Entry root, long length) throws ScenarioException {
+        List<LoadStep> steps = new ArrayList<>();
+        for (Entry e : root.children("load")) {
+            LoadStep step = new LoadStep(e.span("from", 0), e.number("rate", Range.ANY));
+            e.done();
+            if (step.from() >= length || !steps.isEmpty()
+                && step.from() <= steps.get(steps.size() - 1).from()) {
+                throw e.fault("from", "a time after the step before and before the play's end");
+            }
+            steps.add(step);
+        }
+        if (steps.isEmpty() || steps.get(0).from() != 0) {
+            throw root.fault("load", "a list of steps, the first from 0s");
+        }
+        return steps;
+    }
+
+    private Network network(Entry e) throws ScenarioException {
+        Network network = new Network(e.span("same", 0), e.span("cross", 0), e.span("jitter", 0));
+        e.done();
+        return network;
+    }
+
+    private Registry registry(Entry e) throws ScenarioException {
+        Registry registry = new Registry(e.span("notice", S), e.number("calls_per_s", Range.POSITIVE, 1000),
+            e.span("patience", 2 * S));
+        e.done();
+        return registry;
+    }
+
+    private Platform platform(Entry e) throws ScenarioException {
+        Platform platform = new Platform(e.flag("probes", true), e.flag("cancel", true),
+            e.flag("retry_after", true), e.span("most_retry_after", 600 * MS), e.count("most_attempts", 5),
+            e.flag("reports", true), e.number("probe_price", Range.PART, 0.002),
+            e.span("drain_grace", 250 * MS), e.number("tip_multiple", Range.POSITIVE, 3),
+            e.span("fall_after", S), e.span("connection_idle", 60 * S), e.span("connect_timeout", 200 * MS),
+            e.span("answer_slack", 5 * MS));
+        e.done();
+        return platform;
+    }
+
+    private List<Fault> faults(Entry root, long length) throws ScenarioException {
+        List<Fault> faults = new ArrayList<>();
+        for (Entry e : root.children("faults")) {
+            What what = e.oneOf("what", What.class, null);
+            long at = e.span("at");
+            if (at >= length) {
+                throw e.fault("at", "a time before the play's end");
+            }
+            List<String> who = e.texts("who");
+            double part = who.isEmpty() && !what.name().startsWith("REGISTRY")
+                ? e.number("part", Range.PART) : e.number("part", Range.PART, 0);
+            faults.add(new Fault(at, e.span("for", 0), what, who, part, e.texts("to"),
+                e.oneOf("way", Way.class, Way.BOTH), e.number("amount", Range.ANY, usual(what)),
+                e.span("span", 0), e.span("jitter", 0), faults.size() + 1));
+            e.done();
+        }
+        return faults;
+    }
+
+    private static double usual(What what) {
+        return switch (what) {
+            case SERVER_SLOW -> 4;
+            case LINK_RATE -> 64_000;
+            case LINK_CUT -> 200;
+            default -> 1;
+        };
+    }
+
+    private void checkTargets(Scenario scenario) throws ScenarioException {
+        for (Fault fault : scenario.faults()) {
+            for (List<String> names : List.of(fault.who(), fault.to())) {
+                for (String name : names) {
+                    if (!isKnown(scenario, name)) {
+                        throw new ScenarioException(file + ": faults: " + fault.line() + ": " + name
+                            + ": no process of this play; allowed are n1 to n" + scenario.nodes().count()
+                            + ", s1 to s" + servers(scenario)
+                            + ", nodes, servers, registry, clients and zone NAME's servers as zone-NAME");
+                    }
+                }
+            }
+            boolean link = fault.what().name().startsWith("LINK");
+            if (link && (fault.who().isEmpty() || fault.to().isEmpty())) {
+                throw new ScenarioException(file + ": faults: " + fault.line()
+                    + ": who, to: a link has two sides; both are named");
+            }
+        }
+    }
+
+    private static int servers(Scenario scenario) {
+        return scenario.servers().stream().mapToInt(ServerKind::count).sum();
+    }
+
+    private static boolean isKnown(Scenario scenario, String name) {
+        if (Set.of("nodes", "servers", "registry", "clients").contains(name)) {
+            return true;
+        }
+        if (name.startsWith("zone-")) {
+            return scenario.zones().contains(name.substring("zone-".length()));
+        }
+        int most = name.startsWith("n") ? scenario.nodes().count() : name.startsWith("s")
+            ? servers(scenario) : 0;
+        try {
+            int number = Integer.parseInt(name.substring(1));
+            return number >= 1 && number <= most;
+        } catch (NumberFormatException | StringIndexOutOfBoundsException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/ottergauge/lab/net/LinkTest.java
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import ottergauge.lab.scenario.Scenario.Fault;
+import ottergauge.lab.scenario.Scenario.Way;
+import ottergauge.lab.scenario.Scenario.What;
+
+/** Each fault of a link on real sockets: an echo behind a link, and a client that asks it. */
+@Timeout(30)
+class LinkTest {
+
+    private static final int SOON_MS = 300;
+
+    private final Loop loop = new Loop();
+    private final Link link = new Links(1).add("n1", "s1", 0, 0);
+    private InetSocketAddress address;
+    private Listener listener;
+
+    @BeforeEach
+    void listen() throws IOException {
+        try (ServerSocket free = new ServerSocket(0)) {
+            address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
+        }
+        listener = new Listener(loop, address, link, pipeline -> pipeline.addLast(
+            new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRead(ChannelHandlerContext ctx, Object message) {
+                    ctx.writeAndFlush(((ByteBuf) message));
+                }
+            }));
+    }
+
+    @AfterEach
+    void end() {
+        listener.end();
+        loop.close();
+    }
+
+    private void fault(What what, Way way, double amount, long span) throws Exception {
+        loop.netty().submit(() -> link.apply(new Fault(0, 0, what, List.of(), 0, List.of(), way, amount, span,
+            0, 1))).get();
+    }
+
+    private void heal() throws Exception {
+        loop.netty().submit(link::heal).get();
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket();
+        socket.connect(address, SOON_MS);
+        socket.setSoTimeout(SOON_MS);
+        return socket;
+    }
+
+    // A door that moves has settled a moment later.
+    private void awaitConnecting(Class<? extends IOException> failure) throws IOException {
+        for (;;) {
+            try {
+                connect().close();
+            } catch (IOException e) {
+                if (failure.isInstance(e)) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private Socket connectOnceUp() {
+        for (;;) {
+            try {
+                return connect();
+            } catch (IOException e) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    private static String ask(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes());
+        return new String(socket.getInputStream().readNBytes(text.length()));
+    }
+
+    @Test
+    void withNothingWrongBytesPass() throws Exception {
+        try (Socket socket = connect()) {
+            assertEquals("hello", ask(socket, "hello"));
+        }
+    }
+
+    @Test
+    void aLinkThatRefusesIsConnectedToByNobodyUntilItHeals() throws Exception {
+        fault(What.LINK_REFUSE, Way.BOTH, 1, 0);
+        awaitConnecting(ConnectException.class);
+        heal();
+        try (Socket socket = connectOnceUp()) {
+            assertEquals("again", ask(socket, "again"));
+        }
+    }
+
+    @Test
+    void aResetEndsWhatIsOpenAndWhatComes() throws Exception {
+        try (Socket socket = connect()) {
+            assertEquals("before", ask(socket, "before"));
+            fault(What.LINK_RESET, Way.BOTH, 1, 0);
+            assertThrows(SocketException.class, () -> {
+                while (socket.getInputStream().read() >= 0) {
+                    continue;
+                }
+                throw new SocketException("ended");
+            });
+        }
+        try (Socket socket = connect()) {
+            assertThrows(SocketException.class, () -> {
+                socket.getOutputStream().write(1);
+                while (socket.getInputStream().read() >= 0) {
+                    continue;
+                }
+                throw new SocketException("ended");
+            });
+        }
+    }
+
+    @Test
+    void silenceHoldsOneWayAndGivesItBackWhenItHeals() throws Exception {
+        try (Socket socket = connect()) {
+            fault(What.LINK_DROP, Way.BACK, 1, 0);
+            assertThrows(SocketTimeoutException.class, () -> ask(socket, "held"));
+            heal();
+            assertEquals("held", new String(socket.getInputStream().readNBytes(4)));
+        }
+    }
+
+    @Test
+    void aLinkSilentBothWaysLetsNoConnectionComeUp() throws Exception {
+        fault(What.LINK_DROP, Way.BOTH, 1, 0);
+        awaitConnecting(SocketTimeoutException.class);
+        heal();
+        try (Socket socket = connectOnceUp()) {
+            assertEquals("back", ask(socket, "back"));
+        }
+    }
+
+    @Test
+    void aDelayKeepsTheOrderOfBytes() throws Exception {
+        fault(What.LINK_DELAY, Way.BOTH, 1, 30_000);
+        try (Socket socket = connect()) {
+            long from = System.nanoTime();
+            assertEquals("one", ask(socket, "one"));
+            assertTrue(System.nanoTime() - from >= 60_000_000, "both ways take their time");
+            assertEquals("two", ask(socket, "two"));
+        }
+    }
+
+    @Test
+    void whatIsLostIsNeverMadeUpFor() throws Exception {
+        fault(What.LINK_LOSE, Way.THERE, 1, 0);
+        try (Socket socket = connect()) {
+            assertThrows(SocketTimeoutException.class, () -> ask(socket, "lost"));
+            heal();
+            assertThrows(SocketTimeoutException.class, () -> ask(socket, "behind it"));
+        }
+    }
+
+    @Test
+    void aCutEndsAConnectionInTheMiddleOfAMessage() throws Exception {
+        fault(What.LINK_CUT, Way.BACK, 3, 0);
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write("message".getBytes());
+            assertEquals("mes", new String(socket.getInputStream().readNBytes(3)));
+            assertThrows(SocketException.class, () -> {
+                if (socket.getInputStream().read() < 0) {
+                    throw new SocketException("ended");
+                }
+            });
+        }
+    }
+
+    @Test
+    void aSlowLinkPassesItsBytesASecond() throws Exception {
+        fault(What.LINK_RATE, Way.THERE, 100, 0);
+        try (Socket socket = connect()) {
+            long from = System.nanoTime();
+            assertEquals("0123456789", ask(socket, "0123456789"));
+            assertTrue(System.nanoTime() - from >= 100_000_000, "ten bytes at a hundred a second");
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/ottergauge/lab/play/PlayIT.java
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.play;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import ottergauge.lab.play.Play.Program;
+import ottergauge.lab.report.Report;
+import ottergauge.lab.scenario.Scenario;
+import ottergauge.lab.scenario.ScenarioReader;
+
+/** Plays with the node that the project above has built, started by its own {@code run} line. */
+@Timeout(180)
+class PlayIT {
+
+    private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+
+    @TempDir
+    private Path folder;
+
+    static String runLine() throws IOException {
+        Matcher run = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE)
+            .matcher(Files.readString(ROOT.resolve("deploy/balancer.toml")));
+        assertTrue(run.find());
+        return run.group(1);
+    }
+
+    private Report play(String file, String command) throws Exception {
+        Scenario scenario = ScenarioReader.read(Path.of("scenarios", file));
+        return new Report(new Play(scenario, new Program(command, ROOT), folder).run());
+    }
+
+    private static String text(Report report) {
+        StringWriter text = new StringWriter();
+        report.print(new PrintWriter(text));
+        return text.toString();
+    }
+
+    @Test
+    void theRulesHoldWhateverBreaks() throws Exception {
+        Report report = play("faults.yaml", runLine());
+        assertEquals("[]", report.broken().toString(), text(report));
+        assertTrue(report.figures().steps().get(0).worth() > 0.5, text(report));
+        assertFalse(left(), "processes are left");
+    }
+
+    // Whether any process still has this play's folder for its configuration.
+    private boolean left() {
+        return ProcessHandle.allProcesses().anyMatch(process -> {
+            try {
+                return new String(Files.readAllBytes(Path.of("/proc/" + process.pid() + "/environ")))
+                    .contains(folder.toString());
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    @Test
+    void aNodeThatNeverBecomesReadyIsNamedWithTheEndOfItsLog() {
+        String told = assertThrows(PlayException.class,
+            () -> play("faults.yaml", "echo no such program; exit 3")).getMessage();
+        assertTrue(told.startsWith("n1 ended before it was ready") && told.contains("no such program"), told);
+        assertFalse(left(), "processes are left");
+    }
+}
