Sends are paced where no loads are known, further tries have a budget, stale loads are not gone by

The servers' rooms were kept full, so that what they took was late.

Change: package limits, numbers alone, free of I/O and clock. ServerPace (additive increase, multiplicative decrease; under one it is a pace; steps by the node's part of one request, so that the sum is flat in the number of nodes), RetryBudget (a tenth of first tries, a fifth by class), Freshness (two reports within one service time that are the same to the last figure), Room moved there from Decide. The pace acts only where loads are neither known nor heard.

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -11,6 +11,10 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import ottergauge.DecisionApi.*;
+import ottergauge.limits.Freshness;
+import ottergauge.limits.RetryBudget;
+import ottergauge.limits.Room;
+import ottergauge.limits.ServerPace;
 
 /**
  * Every decision of a node and nothing else. Its interface (settings, events, actions) is DecisionApi.java.
@@ -62,6 +66,8 @@
     private static final double HAVE_LEFT = 0.25;
     // Servers believed to hold so much more than the least are passed over: less than that no report tells.
     private static final double HEARD_MARGIN = 0.1;
+    // An answer that took longer than this part of its aim tells of a queue that leaves no time to spare.
+    private static final double QUEUED_PART = 0.5;
     // A server is worth a send if what it holds, and this request, fit in this part of the time left.
     private static final double FIT_PART = 0.75;
     // And in this part where it is not cut off at its aim, but goes on for late worth at the cost of others.
@@ -89,14 +95,11 @@
     // But only while more than this part of the attempts goes unanswered: else what takes long is a long
     // request, which may run on when it is given up, and all of its work is wasted.
     private static final double LOST_PART = 0.15;
-    // Up to this part of the cores busy hardly a request waits for one; and what it may be out for noise.
+    // Up to this part of the cores busy hardly a request waits for one.
     private static final double SPARE = 0.6;
-    private static final double ROOM_NOISE = 0.3;
     // What is reported busy is a mean over a second or so: of a fleet that a burst has just woken it tells
     // far too little, and three cores were taken for thirty.
     private static final long WAKING = 2_000_000;
-    // So many servers' full work in reports tells a room; of twice as much the older half is forgotten.
-    private static final double WORK_SEEN = 4;
     // A rate is a mean over some time, and says as much as so many counts at an instant.
     private static final double RATE_SAYS = 4;
     // Departure "errors": so many in a row bar a server. One that fails at once looks idle and draws sends.
@@ -125,30 +128,6 @@
     private static final double SECOND = 1e6;
     private static final long NEVER = Long.MIN_VALUE / 4;
 
-    // How many requests a server holds when all of its cores are busy: as many as these where requests only
-    // work, and many times as many where they wait on others most of their time.
-    private static final class Room {
-        private double held;
-        private double busy;
-        private boolean known;
-
-        void saw(double requests, double busyPart, double says) {
-            held += says * requests;
-            busy += says * busyPart;
-            known |= says > 1 || busy > WORK_SEEN;
-            if (busy > 2 * WORK_SEEN) {
-                held /= 2;
-                busy /= 2;
-            }
-        }
-
-        // With what is held elsewhere for what this one has not shown yet.
-        double size(double elsewhere) {
-            double unseen = Math.max(0, WORK_SEEN - busy);
-            return Math.floor(Math.max(1, (held + unseen * elsewhere) / (busy + unseen) + ROOM_NOISE));
-        }
-    }
-
     // A server, as this node knows it.
     private static final class Server {
         final long id;
@@ -170,6 +149,7 @@
         int sentSince;
         final Room room = new Room();
         long reportedAt = NEVER;
+        LoadReport report = LoadReport.NONE;
         long probedAt = NEVER;
         boolean probing;
         double slowness;
@@ -182,6 +162,7 @@
         long coldSince = NEVER;
         long coldDrawnAt = NEVER;
         double coldDraw;
+        final ServerPace pace = new ServerPace();
         final ArrayDeque<Long> coldSends = new ArrayDeque<>(0);
 
         Server(ListedServer entry) {
@@ -275,7 +256,8 @@
     private final Settings settings;
     private final SplittableRandom random;
     private final int sharedRow;
-    private final boolean sounds;
+    private boolean sounds;
+    private final Freshness freshness = new Freshness();
     private final int mostProbes;
     private boolean hears;
     private double meanLoad;
@@ -293,6 +275,7 @@
     private final TreeSet<Request> held = new TreeSet<>(BY_WORTH);
     private final TreeSet<Request> heldByEnd = new TreeSet<>(BY_END);
     private final long[] longestTry;
+    private final RetryBudget retries;
     private double repeatsDue;
     private final boolean[] rowLive;
     private double unanswered;
@@ -321,6 +304,7 @@
         sharedRow = Math.min(settings.classes().size(), MOST_ROWS);
         longestTry = new long[settings.classes().size()];
         rowLive = new boolean[sharedRow + 1];
+        retries = new RetryBudget(settings.classes().size());
         sounds = settings.limits().probes() && settings.reportsLoad()
             && settings.prices().probe() * 2 <= PROBE_SPEND;
         double price = settings.prices().probe();
@@ -609,7 +593,7 @@
         double price = settings.prices().connection() * perServer;
         double paid = price > 0 ? Math.min(FREE_SUBSET, CONNECTION_SPEND / price) : FREE_SUBSET;
         paid = Math.min(paid, DOZEN * Math.max(1, servers.size() / (double) settings.nodes()));
-        double each = hears && fleet.known ? fleet.size(1) : 1;
+        double each = hears && fleet.known() ? fleet.size(1) : 1;
         double wanted = Math.max(out.size(), SUBSET_SPARE * meanOut) / each;
         return (int) Math.max(LEAST_SUBSET, Math.max(paid, wanted));
     }
@@ -710,7 +694,8 @@
 
     private boolean open(Server s) {
         return s.state == ServerState.UP && now >= s.barredUntil && !mute(s)
-            && (s.strikes == 0 || s.out.isEmpty()) && coldBudgetLeft(s);
+            && (s.strikes == 0 || s.out.isEmpty())
+            && (sounds || hears || s.pace.allows(now, s.out.size(), service)) && coldBudgetLeft(s);
     }
 
     // The fleet's service time by how much slower than the fleet this server is. A mean of its own sees too
@@ -752,7 +737,7 @@
     }
 
     private double room(Server s) {
-        return fleet.known ? s.room.size(fleet.size(1)) : 1;
+        return fleet.known() ? s.room.size(fleet.size(1)) : 1;
     }
 
     // The service times until a request ends that comes to a server which holds so many.
@@ -776,7 +761,7 @@
         }
         double age = (now - s.reportedAt) / Math.max(1, service);
         double trust = Math.exp(-age * service / (FORGET_SERVICES * Math.max(tripTo(s), service)));
-        double others = !fleet.known ? 0
+        double others = !fleet.known() ? 0
             : OTHERS_ALIKE * s.sentSince * (sharing() - 1) - HAVE_LEFT * s.load * (1 - Math.exp(-age));
         return Math.max(0, meanLoad + trust * (s.load + others - meanLoad));
     }
@@ -812,7 +797,7 @@
             s.load = Math.max(0, Math.rint(report.inFlight()) - own);
             s.sentSince = 0;
             s.reportedAt = now;
-            hears = settings.reportsLoad() && !sounds;
+            hears = settings.reportsLoad() && !sounds && !freshness.stale();
             meanLoad += BLEND * (s.load - meanLoad);
             learnRoom(s, report, own);
         }
@@ -921,6 +906,12 @@
             pace = blend(pace, now - sentAt);
         }
         sentAt = now;
+        s.pace.sent(now);
+        if (q.attempts == 1) {
+            retries.first(q.row);
+        } else {
+            retries.again(q.row);
+        }
         if (warmth(s, now) < 1) {
             s.coldSends.add(now);
             s.coldDrawnAt = NEVER;
@@ -962,7 +953,7 @@
     // A further attempt where the rules allow one and it can still be in time; else the final answer.
     private void again(Request q, Server failed) {
         q.avoid = failed;
-        if ((!doomed(q) || makeLate(q))
+        if ((!doomed(q) || makeLate(q)) && retries.allows(q.row)
             && subset.stream().anyMatch(s -> s.state == ServerState.UP && maySend(q, s))) {
             hold(q);
         } else {
@@ -982,6 +973,11 @@
                     spareTime = blend(spareTime, e.elapsed());
                 }
                 served++;
+                if (e.elapsed() > QUEUED_PART * a.request.type.aim()) {
+                    s.pace.congested(now, s.out.size() + 1, service, sharing());
+                } else {
+                    s.pace.served(s.out.size(), sharing());
+                }
                 answered(s);
                 // One that fails some of its requests would begin anew after each that it serves.
                 s.strikes = hears ? s.strikes / 2 : 0;
@@ -989,11 +985,12 @@
                 learn(s, a, e.elapsed());
             }
             case TIMED_OUT -> {
+                s.pace.congested(now, s.out.size() + 1, service, sharing());
                 // An answer that is lost for good tells nothing of the fleet's speed: taken whole, a few of
                 // them made every server too slow for any request.
                 double most = service > 0 ? SILENT_EACH * service * turns(s, a.loadBefore) : e.elapsed();
                 learn(s, a, (long) Math.min(e.elapsed(), most));
-                if (hears && fleet.known) {
+                if (hears && fleet.known()) {
                     // Departure "unheard": what did not end in this time had so many turns before it, and no
                     // answer tells of them. Forgotten, the server stood at the mean and drew sends.
                     s.load = Math.max(s.load, room(s) * e.elapsed() / service);
@@ -1003,7 +1000,10 @@
             case CONNECT_FAILED -> lose(s);
             case RESET -> broken(s);
             case ERROR -> failed(s);
-            case REJECTED -> s.barredUntil = Math.max(s.barredUntil, now + (long) (service / 2));
+            case REJECTED -> {
+                s.barredUntil = Math.max(s.barredUntil, now + (long) (service / 2));
+                s.pace.congested(now, s.out.size() + 1, service, sharing());
+            }
             default -> { }
         }
     }
@@ -1078,7 +1078,10 @@
         s.probing = false;
         if (e.result() == Result.SERVED) {
             trips.merge(s.entry.zone(), (double) e.elapsed(), Decide::blend);
+            freshness.saw(s.report, e.report(), now - s.reportedAt, service);
+            s.report = e.report();
             report(s, e.report(), 0);
+            goBlind();
             if (Double.isNaN(e.report().inFlight())) {
                 // Departure "mute reports": with no load told the rotation goes on by the node's own sends.
                 // Taken for unknown, the servers stood idle while all was held and refused.
@@ -1098,6 +1101,16 @@
         }
     }
 
+    // Departure "stale loads": asked for again and again they stay as they are. Then it is the rotation, what
+    // the node itself has out and what servers turn away that count.
+    private void goBlind() {
+        if (sounds && freshness.stale()) {
+            sounds = false;
+            hears = false;
+            servers.forEach(s -> s.load = s.out.size());
+        }
+    }
+
     // Looks for what time alone brings: requests past their use, and servers that have fallen silent.
     private void look() {
         if (now >= askAt) {
--- a/src/test/java/ottergauge/ArchitectureTest.java
+++ b/src/test/java/ottergauge/ArchitectureTest.java
@@ -24,10 +24,20 @@
     void theModuleKnowsOnlyTheJdkAndItsInterface() {
         classes().that(belongToAnyOf(Decide.class, DecisionApi.class))
             .should(onlyDependOnClassesThat(resideInAnyPackage("java.lang..", "java.util",
-                "java.util.function", "java.util.stream", "ottergauge")))
+                "java.util.function", "java.util.stream", "ottergauge", "ottergauge.limits")))
             .check(all);
     }
 
+    @Test
+    void limitsAreNumbersAndNothingElse() {
+        classes().that(resideInAnyPackage("ottergauge.limits"))
+            .should(onlyDependOnClassesThat(resideInAnyPackage("java.lang..", "java.util", "ottergauge",
+                "ottergauge.limits")))
+            .check(all);
+        noClasses().that(resideInAnyPackage("ottergauge.limits")).should().dependOnClassesThat()
+            .belongToAnyOf(Decide.class, System.class, Thread.class, java.util.Random.class).check(all);
+    }
+
     @Test
     void theModuleHasNoClockNoThreadsAndNoIo() {
         noClasses().that(belongToAnyOf(Decide.class, DecisionApi.class))
@@ -46,7 +56,7 @@
     @Test
     void theNodesLayersDependOneWay() {
         layeredArchitecture().consideringOnlyDependenciesInAnyPackage("ottergauge..")
-            .layer("decisions").definedBy("ottergauge")
+            .layer("decisions").definedBy("ottergauge", "ottergauge.limits..")
             .layer("settings").definedBy("ottergauge.settings..")
             .layer("migration").definedBy("ottergauge.migration..")
             .layer("simhost").definedBy("ottergauge.simhost..")
--- /dev/null
+++ b/src/test/java/ottergauge/OverloadTest.java
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import ottergauge.DecisionApi.Action;
+import ottergauge.DecisionApi.LoadReport;
+import ottergauge.DecisionApi.Probe;
+import ottergauge.DecisionApi.ProbeEnded;
+import ottergauge.DecisionApi.Result;
+import ottergauge.DecisionApi.Send;
+
+/** What the limits of overload change in the module's decisions: each test fails with its guard taken out. */
+class OverloadTest {
+
+    private static final long MS = Node.MS;
+
+    private static Node blind(int servers) {
+        Node node = new Node(new TestSettings().build());
+        node.servers(servers);
+        for (int i = 0; i < 40; i++) {
+            node.serve("warm" + i, 50 * MS);
+        }
+        return node;
+    }
+
+    /** Guards against further tries that sustain an overload: with each request tried five times 91% were. */
+    @Test
+    void whenAllIsTurnedAwayFurtherTriesAreAPartOfFirstOnes() {
+        Node node = blind(12);
+        int requests = 400;
+        int sends = 0;
+        Deque<Send> out = new ArrayDeque<>();
+        for (int i = 0; i < requests; i++) {
+            // Long enough for every bar and pace to let a server be tried again.
+            node.now += 400 * MS;
+            out.addAll(Node.those(Send.class, node.arrive("r" + i)));
+            while (!out.isEmpty()) {
+                Send send = out.poll();
+                sends++;
+                int attempt = (int) node.all.stream()
+                    .filter(a -> a instanceof Send s && s.id().equals(send.id())).count() - 1;
+                out.addAll(Node.those(Send.class,
+                    node.ended(send.id(), attempt, send.server(), Result.REJECTED, MS)));
+            }
+        }
+        assertTrue(sends <= 1.1 * requests + 11, sends + " attempts for " + requests + " requests");
+    }
+
+    /** Guards against servers that are kept full: what waits there is late, and nothing can overtake it. */
+    @Test
+    void aServerThatTurnsAwayIsOfferedLessAtOnceAndMoreSlowly() {
+        Node node = blind(1);
+        List<Send> sends = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            sends.addAll(Node.those(Send.class, node.arrive("a" + i)));
+        }
+        assertEquals(8, sends.size());
+        node.ended("a7", 0, sends.get(7).server(), Result.REJECTED, MS);
+        node.now += 28 * MS;
+        List<Action> more = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            more.addAll(node.arrive("b" + i));
+        }
+        assertEquals(List.of(), Node.those(Send.class, more), "seven are out, and 0.7 of eight may be");
+        for (int i = 0; i < 4; i++) {
+            more.addAll(node.ended("a" + i, 0, sends.get(i).server(), Result.SERVED, 28 * MS));
+        }
+        assertEquals(4, Node.those(Send.class, more).size(), "up to the limit and its steps");
+    }
+
+    /**
+     * Guards against loads that are renewed once in several service times: all nodes chased the same server.
+     */
+    @Test
+    void loadsThatStayAsTheyAreAreNotAskedForAnyMore() {
+        TestSettings settings = new TestSettings();
+        settings.probes = true;
+        Node node = new Node(settings.build());
+        node.servers(2);
+        LoadReport old = new LoadReport(3, Double.NaN, 0.5, Double.NaN, 17.25);
+        int probes = 0;
+        Deque<Send> out = new ArrayDeque<>();
+        Deque<Action> actions = new ArrayDeque<>();
+        for (int i = 0; i < 300; i++) {
+            actions.addAll(node.arrive("r" + i));
+            actions.addAll(node.after(20 * MS));
+            // Each takes ten rounds.
+            if (i >= 10 && !out.isEmpty()) {
+                Send send = out.poll();
+                actions.addAll(node.ended(send.id(), 0, send.server(), Result.SERVED, 200 * MS));
+            }
+            while (!actions.isEmpty()) {
+                Action action = actions.poll();
+                if (action instanceof Probe probe) {
+                    probes += i >= 280 ? 1 : 0;
+                    actions.addAll(node.on(new ProbeEnded(probe.server(), Result.SERVED, MS, old)));
+                } else if (action instanceof Send send) {
+                    out.add(send);
+                }
+            }
+        }
+        assertEquals(0, probes, "probes for the last 20 requests");
+    }
+}
