--- a/src/test/java/ottergauge/program/StallIT.java
+++ b/src/test/java/ottergauge/program/StallIT.java
@@ -6,6 +6,8 @@
 import static ottergauge.protocol.TestConfig.host;
 
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -36,13 +38,10 @@
             assertEquals(200, known.ask(Client.request("grant", "ok", "")).status());
             server.requests.clear();
             node.signal("STOP");
-            long over = System.nanoTime() + REQUEST_OVER_MS * 1_000_000;
             try (Client fresh = node.client()) {
                 known.write(Client.request("grant", "silence", ""));
                 fresh.write(Client.request("grant", "silence", ""));
-                while (System.nanoTime() < over) {
-                    LockSupport.parkNanos(over - System.nanoTime());
-                }
+                park(REQUEST_OVER_MS);
                 node.signal("CONT");
                 assertEquals(503, known.read().status(), "on a connection that was open before");
                 assertEquals(503, fresh.read().status(), "on a new connection");
@@ -51,4 +50,40 @@
             assertEquals(200, known.ask(Client.request("grant", "ok", "")).status());
         }
     }
+
+    /**
+     * Guards against a node that goes by its clock before it reads: continued, it closed as idle what a
+     * request had come on meanwhile, and gave up attempts whose answers were there.
+     */
+    @Test
+    void whatCameWhileTheNodeStoodStillIsReadBeforeTimeIsUp() throws Exception {
+        CountDownLatch answered = new CountDownLatch(1);
+        try (StubServer server = StubServer.obedient(answered);
+             RunningNode node = RunningNode.ready(folder,
+                 new TestConfig().knows(host("s-1", server.address(), "in_service")), "127.0.0.1:1");
+             Client idle = node.client()) {
+            assertEquals(200, idle.ask(Client.request("grant", "ok", "")).status());
+            // Idle connections are closed after five seconds.
+            park(4_400);
+            server.requests.clear();
+            Client asking = node.client();
+            asking.write(Client.request("grant", "late", ""));
+            assertTrue(server.requests.poll(10, TimeUnit.SECONDS).target().endsWith("late"));
+            node.signal("STOP");
+            answered.countDown();
+            idle.write(Client.request("grant", "ok", ""));
+            park(REQUEST_OVER_MS);
+            node.signal("CONT");
+            assertEquals(503, idle.read().status(), "refused: its time was up");
+            assertEquals(200, asking.read().status(), "the answer was there");
+            asking.close();
+        }
+    }
+
+    private static void park(long millis) {
+        long until = System.nanoTime() + millis * 1_000_000;
+        while (System.nanoTime() < until) {
+            LockSupport.parkNanos(until - System.nanoTime());
+        }
+    }
 }
--- a/src/test/java/ottergauge/program/StubServer.java
+++ b/src/test/java/ottergauge/program/StubServer.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 
 /** Stands in for a server or for discovery: does with each connection's requests what the test says. */
@@ -29,8 +30,16 @@
 
     /** A server that does what the request's query asks for: ok, error, busy, break, silence. */
     static StubServer obedient() throws IOException {
+        return obedient(new CountDownLatch(0));
+    }
+
+    /** The same; "late" is answered once the latch is down. */
+    static StubServer obedient(CountDownLatch late) throws IOException {
         return new StubServer((request, connection) -> {
             String wish = request.target().replaceAll(".*do=", "");
+            if ("late".equals(wish)) {
+                late.await();
+            }
             switch (wish) {
                 case "error" -> connection.getOutputStream().write(HttpMessage.response(500, "", "no"));
                 case "busy" -> connection.getOutputStream()
--- a/src/test/java/ottergauge/transport/TimersTest.java
+++ b/src/test/java/ottergauge/transport/TimersTest.java
@@ -2,6 +2,8 @@
 package ottergauge.transport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -40,4 +42,18 @@
         timers.start(1_001, () -> ran.add(now));
         assertEquals(List.of(1L, 2L), started.stream().map(Started::millis).toList());
     }
+
+    /** Guards against connections closed as idle, and attempts given up, before what has come is read. */
+    @Test
+    void aLateTimerLetsTheLoopReadFirst() {
+        boolean[] ran = new boolean[1];
+        timers.start(50_000, () -> ran[0] = true);
+        now += 950_000;
+        started.remove(0).task().run();
+        assertFalse(ran[0], "the loop has not read what came meanwhile");
+        assertEquals(1, started.get(0).millis());
+        now += 1_000;
+        started.remove(0).task().run();
+        assertTrue(ran[0]);
+    }
 }
