A silent watch is noticed as its wait ends and opened anew at once, waits spread over the nodes

Lines at fault: DiscoverySide.call (waits + 2 s), Watch.call (one wait for all), Decide.askAgain (a pause).

Watch owns the time of each call: silent 0.25 s after its wait, opened anew at once on another connection, the old call read until the new one answers; waits drawn from half to three halves of mustAskInMs; a new watch's first call hardly waits. DiscoverySide carries several calls and times none. Answers older than what is known undo nothing.

--- a/src/main/java/ottergauge/routing/CloseReason.java
+++ b/src/main/java/ottergauge/routing/CloseReason.java
@@ -33,8 +33,10 @@
     CLIENT_GONE,
     /** Its client connected and asked nothing. */
     SILENT,
-    /** Discovery is at another address now, or its call was given up for a later one. */
+    /** Discovery is at another address now. */
     DISCOVERY_MOVED,
+    /** Discovery did not answer in time on it. */
+    WATCH_SILENT,
     /** The node was short of sockets. */
     SOCKETS_SHORT,
     /** The node is stopping. */
--- a/src/main/java/ottergauge/routing/Effect.java
+++ b/src/main/java/ottergauge/routing/Effect.java
@@ -43,10 +43,13 @@
 
     /**
      * Asks discovery for what is newer than a version, waiting so long for it; for the whole list if the
-     * version is negative. An earlier call that is still out is given up.
+     * version is negative.
      */
     record CallDiscovery(long call, Address address, long after, long waits) implements Effect { }
 
+    /** Ends a call to discovery: nothing that it brings counts any more. */
+    record GiveUpCall(long call, CloseReason reason) implements Effect { }
+
     record StartTimer(long delay, Timer timer) implements Effect { }
 
     /** The answer to an operator's call; the connection ends with it. */
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -181,9 +181,7 @@
         } else if (event instanceof Event.ListRead e) {
             listRead(e);
         } else if (event instanceof Event.ListCallFailed e) {
-            if (watch.awaits(e.call())) {
-                learnt.add(watch.failed());
-            }
+            watch.failed(e.call()).ifPresent(learnt::add);
         } else if (event instanceof Event.Reconfigured e) {
             limitSockets(e.config().sockets());
             watch.move(now, e.config().discovery());
@@ -570,13 +568,13 @@
     // ---- Discovery ----------------------------------------------------------------------------------
 
     private void listRead(Event.ListRead e) {
-        if (!watch.awaits(e.call())) {
+        if (!watch.takes(e.call(), e.list())) {
             return;
         }
         HostList list = roster.follow(now, e.list());
         List<Job> withdrawn = upstreams.follow(list);
         // The list first: told only of a withdrawn attempt, the module would send it to the same server.
-        watch.read(now, list).ifPresent(news -> {
+        watch.read(now, e.call(), list).ifPresent(news -> {
             learnt.add(news);
             keepList();
         });
@@ -610,6 +608,8 @@
             due(due.job());
         } else if (timer instanceof Timer.FlowDue due) {
             flowDue(due.job());
+        } else if (timer instanceof Timer.CallDue due) {
+            watch.due(now, due.call()).ifPresent(learnt::add);
         } else if (timer instanceof Timer.NextCall) {
             watch.resume(now);
         } else if (timer instanceof Timer.FrontQuiet) {
--- a/src/main/java/ottergauge/routing/Timer.java
+++ b/src/main/java/ottergauge/routing/Timer.java
@@ -16,6 +16,9 @@
     /** Time to look for connections that have been idle, or half a request, for too long. */
     record Sweep() implements Timer { }
 
+    /** The answer to a call to discovery has to be there by now. */
+    record CallDue(long call) implements Timer { }
+
     /** Time for the next call of a watch. */
     record NextCall() implements Timer { }
 
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -67,7 +67,7 @@
         client = vertx.createNetClient();
         servers = new ServerSide((address, timeoutMs) ->
             Outbound.connect(client, "server", address, timeoutMs, Headers.MOST_BODY), events::take);
-        discovery = new DiscoverySide(vertx, client, events::take);
+        discovery = new DiscoverySide(client, events::take);
         door = new Door(context.nettyEventLoop(), watch, events::take);
     }
 
@@ -223,6 +223,8 @@
             clients.close(e);
         } else if (effect instanceof Effect.CallDiscovery e) {
             discovery.call(e);
+        } else if (effect instanceof Effect.GiveUpCall e) {
+            discovery.giveUp(e);
         } else if (effect instanceof Effect.NotTaken e) {
             clients.log(e);
         } else if (effect instanceof Effect.AcceptUpTo e) {
