--- a/lab/src/main/java/ottergauge/lab/node/NodeConfig.java
+++ b/lab/src/main/java/ottergauge/lab/node/NodeConfig.java
@@ -76,7 +76,8 @@
         settings.putObject("rules").put("answerSlackMs", platform.answerSlack() / MS)
             .put("stopSendingWithinMs", platform.drainGrace() / MS).put("coldFrom", kind.coldFrom())
             .put("coldMs", kind.coldFor() / MS).put("tipMultiple", platform.tipMultiple())
-            .put("fallMs", platform.fallAfter() / MS).put("mustAskInMs", scenario.registry().askWithin() / MS);
+            .put("fallMs", platform.fallAfter() / MS)
+            .put("mustAskInMs", scenario.registry().askWithin() / MS);
         settings.putObject("penalties").put("probe", platform.probePrice()).put("connection", 0.0);
         ArrayNode classes = settings.putArray("classes");
         for (RequestClass type : scenario.classes()) {
