Connections that fail everywhere spend no retry budget and make no server cold

Two lines were at fault. Decide.send and Decide.again took a token of the retry budget (a tenth of first attempts) for each further try, though what had failed came to no server. Decide.lose took a server for dead after one connection that was not made, and Decide.answered then held it to a cold server's budget for coldFor.

Further tries after attempts that came to no server are free of the budget. A server counts as dead, and so as cold when it is back, once connections to it have failed as often in a row as chance, by the share of all attempts that could not connect, would do in one case of twenty. Where connections hardly ever fail that is the first one, as before.

Tests: DeparturesTest.connectionsThatFailEverywhereSpendNoBudgetAndMakeNoServerCold fails without either, aServerThatAloneCannotBeReached... without the rule on death.

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -57,11 +57,9 @@
     private static final double FRESH_PART = 0.08;
     // A server seen busy stays so for this part of the work it was seen to hold.
     private static final double BUSY_PART = 0.3;
-    // A report is forgotten over so many service times: others send to a server left idle as seldom as that,
-    // since by their own reports they know of other ones.
+    // A report is forgotten over so many service times: as seldom do others send to a server left idle.
     private static final double FORGET_SERVICES = 10;
-    // What a node sends tells so much of what each other one does, and what leaves meanwhile counts for so
-    // much: less than it is, since others mostly fill it up.
+    // So much do others do what a node does, and for so much counts what leaves: others mostly fill it up.
     private static final double OTHERS_ALIKE = 0.4;
     private static final double HAVE_LEFT = 0.25;
     // Servers believed to hold so much more than the least are passed over: less than that no report tells.
@@ -72,13 +70,11 @@
     private static final double FIT_PART = 0.75;
     // And in this part where it is not cut off at its aim, but goes on for late worth at the cost of others.
     private static final double LATE_FIT_PART = 0.5;
-    // After this part of its aim a request settles for a server that it fits at, emptier ones or not:
-    // where a trip or a round is a good part of the aim, the search would use up the time that it saves.
+    // After this part of its aim a request settles for a server that it fits at: searching takes time.
     private static final double SEARCH_PART = 0.1;
     // An odd number with its bits well spread, the golden ratio's, for mixing keys with ids.
     private static final long MIX = 0x9E3779B97F4A7C15L;
-    // Nothing is sent where this multiple of the root of its room waits already: that many keep it busy (the
-    // square-root rule of staffing), and held requests can still go to whichever server is free first.
+    // Nothing is sent where this multiple of the root of its room waits: the square-root rule of staffing.
     private static final double MOST_WAITING = 0.6;
     // Less than this part of a service time left to the aim: the request can no longer make it.
     private static final double DOOMED_PART = 0.6;
@@ -92,20 +88,17 @@
     private static final double SILENT_EACH = 3;
     // An attempt out for this multiple of what it was expected to take is not waited for: few take so long.
     private static final double OVERDUE = 6;
-    // But only while more than this part of the attempts goes unanswered: else what takes long is a long
-    // request, which may run on when it is given up, and all of its work is wasted.
+    // But only while more than this part of the attempts goes unanswered: else it is a long request.
     private static final double LOST_PART = 0.15;
     // Up to this part of the cores busy hardly a request waits for one.
     private static final double SPARE = 0.6;
-    // What is reported busy is a mean over a second or so: of a fleet that a burst has just woken it tells
-    // far too little, and three cores were taken for thirty.
+    // A reported busy part is a mean over a second: of a fleet that has just woken it tells too little.
     private static final long WAKING = 2_000_000;
     // A rate is a mean over some time, and says as much as so many counts at an instant.
     private static final double RATE_SAYS = 4;
     // Departure "errors": so many in a row bar a server. One that fails at once looks idle and draws sends.
     private static final int ERRORS_IN_A_ROW = 2;
-    // Where loads are heard a bar for an error begins so far up: a trial costs a request, and one server of
-    // many little.
+    // Where loads are heard a bar for an error begins so far up: a trial costs a request.
     private static final int HEARD_ERROR = 2;
     // Bars double from the first to the last.
     private static final long FIRST_BAR = 100_000;
@@ -126,6 +119,9 @@
     private static final double GOLDEN = 0.6180339887498949;
     private static final int SUBSET_TRIES = 4;
     private static final double SECOND = 1e6;
+    // How seldom chance may take a live server for a dead one, and over how many attempts it is judged.
+    private static final double CHANCE = 0.05;
+    private static final double UNREACHED_BLEND = 0.02;
     private static final long NEVER = Long.MIN_VALUE / 4;
 
     // A server, as this node knows it.
@@ -156,6 +152,7 @@
         double due;
         long answeredAt = NEVER;
         int strikes;
+        int misses;
         int errors;
         long barredUntil = NEVER;
         boolean lost;
@@ -204,6 +201,7 @@
         double worth;
         final ArrayList<Attempt> out = new ArrayList<>(1);
         int attempts;
+        boolean met;
         Attempt firstThatMayHaveRun;
         boolean repeat;
         boolean started;
@@ -278,6 +276,7 @@
     private final RetryBudget retries;
     private double repeatsDue;
     private final boolean[] rowLive;
+    private double unreached;
     private double unanswered;
     private long served;
     private double servedRate;
@@ -909,7 +908,7 @@
         s.pace.sent(now);
         if (q.attempts == 1) {
             retries.first(q.row);
-        } else {
+        } else if (q.met || q.out.size() > 1) {
             retries.again(q.row);
         }
         if (warmth(s, now) < 1) {
@@ -934,7 +933,9 @@
         if (!hears || e.result() == Result.SERVED) {
             report(s, e.report(), e.result() == Result.SERVED ? 1 : 0);
         }
+        unreached += UNREACHED_BLEND * ((e.result() == Result.CONNECT_FAILED ? 1 : 0) - unreached);
         judge(s, a, e);
+        q.met |= e.result() != Result.CONNECT_FAILED && e.result() != Result.NOT_SENT;
         boolean given = e.result() == Result.TIMED_OUT || e.result() == Result.CANCELLED && !q.over;
         if (given || e.result() == Result.SERVED) {
             unanswered += BLEND * ((given ? 1 : 0) - unanswered);
@@ -953,7 +954,8 @@
     // A further attempt where the rules allow one and it can still be in time; else the final answer.
     private void again(Request q, Server failed) {
         q.avoid = failed;
-        if ((!doomed(q) || makeLate(q)) && retries.allows(q.row)
+        // What came to no server was no load: where connections fail, the budget would refuse the rest.
+        if ((!doomed(q) || makeLate(q)) && (!q.met || retries.allows(q.row))
             && subset.stream().anyMatch(s -> s.state == ServerState.UP && maySend(q, s))) {
             hold(q);
         } else {
@@ -1008,8 +1010,10 @@
         }
     }
 
+    // Departure "unreached": where connections fail at all servers, some of a live one fail in a row.
+    // Each server was taken for dead and back, and so held to a cold one's budget.
     private void lose(Server s) {
-        s.lost = true;
+        s.lost |= Math.pow(unreached, ++s.misses) < CHANCE;
         strike(s);
     }
 
@@ -1042,6 +1046,7 @@
 
     private void answered(Server s) {
         s.answeredAt = now;
+        s.misses = 0;
         if (s.lost) {
             // A server that was unreachable and answers again has most likely restarted: it is cold.
             s.lost = false;
--- a/src/test/java/ottergauge/DeparturesTest.java
+++ b/src/test/java/ottergauge/DeparturesTest.java
@@ -467,6 +467,58 @@
         }
     }
 
+    /**
+     * Guards against a fleet refused to death: where a third of all connections failed, their further tries
+     * used up the budget, and each server was taken for one that died and came back cold.
+     */
+    @Test
+    void connectionsThatFailEverywhereSpendNoBudgetAndMakeNoServerCold() {
+        Node node = warm(new TestSettings(), 8, 30, 50 * MS);
+        int late = 0;
+        for (int i = 0; i < 300; i++) {
+            node.now += 60 * MS;
+            String id = "r" + i;
+            int attempt = 0;
+            Send send = first(node.arrive(id));
+            for (; send != null && (i + attempt) % 3 == 0; attempt++) {
+                node.now += 5 * MS;
+                send = first(node.ended(id, attempt, send.server(), Result.CONNECT_FAILED, 5 * MS));
+            }
+            if (send == null) {
+                late++;
+                node.after(node.settings.classes().get(0).deadline());
+            } else {
+                node.now += 50 * MS;
+                node.ended(id, attempt, send.server(), Result.SERVED, 50 * MS);
+            }
+        }
+        assertTrue(Node.those(Refuse.class, node.all).isEmpty(), "refused for want of a budget");
+        assertTrue(late < 10, late + " of 300 were held back");
+    }
+
+    /** Guards against a dead server that is not known as cold when it is back. */
+    @Test
+    void aServerThatAloneCannotBeReachedIsColdWhenItIsBack() {
+        Node node = warm(new TestSettings(), 8, 30, 50 * MS);
+        Send lost = first(node.arrive("a"));
+        node.ended("a", 0, lost.server(), Result.CONNECT_FAILED, 5 * MS);
+        int sends = 0;
+        for (int i = 0; i < 400; i++) {
+            node.now += 10 * MS;
+            Send send = first(node.arrive("b" + i));
+            if (send != null) {
+                sends += send.server() == lost.server() ? 1 : 0;
+                node.now += 5 * MS;
+                node.ended("b" + i, 0, send.server(), Result.SERVED, 5 * MS);
+            }
+        }
+        assertTrue(sends < 40, sends + " of 400, an eighth is 50");
+    }
+
+    private static Send first(List<Action> actions) {
+        return Node.those(Send.class, actions).stream().findFirst().orElse(null);
+    }
+
     /** Sends a request, its server idle by its probe, and returns the server without an answer. */
     private static long probedSend(Node node, String id) {
         List<Action> actions = node.arrive(id);
