--- a/src/test/java/ottergauge/program/FlowIT.java
+++ b/src/test/java/ottergauge/program/FlowIT.java
@@ -190,7 +190,7 @@
         out.write(text("HTTP/1.1 200 OK\r\nContent-Length: " + told.length() + "\r\n\r\n" + told));
     };
 
-    /** Guards against a request that has come whole before its server's connection is up, and went nowhere. */
+    /** Guards against a request that came whole before its server's connection was up, and went nowhere. */
     @Test
     void aRequestJustTooLargeToBeKeptWaitsWholeForItsServer() throws Exception {
         RunningNode node = nodeBefore(ECHO);
