One late connection bars no server: the attempt goes elsewhere, and the connection may still come up

Router told the module CONNECT_FAILED of what may still come up. Now the first late connection at a server is NOT_SENT, two at once are CONNECT_FAILED. A probe that was not sent is no strike either.

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -1112,7 +1112,7 @@
             broken(s);
         } else if (e.result() == Result.CONNECT_FAILED) {
             lose(s);
-        } else {
+        } else if (e.result() != Result.NOT_SENT) {
             strike(s);
         }
     }
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -488,6 +488,12 @@
         });
     }
 
+    // One connection that is late may come up yet, and tells nothing of its server; of two, and none up, it
+    // is told that it can't be reached.
+    private void connectionLate(Job job) {
+        ended(job, upstreams.severalLate(job.server) ? Result.CONNECT_FAILED : Result.NOT_SENT);
+    }
+
     private void due(long number) {
         Job job = jobs.get(number);
         // What flows is given as long as it takes, and its time anew when its last byte is written.
@@ -635,7 +641,7 @@
         } else if (timer instanceof Timer.JobDue due) {
             due(due.job());
         } else if (timer instanceof Timer.ConnectDue due) {
-            upstreams.connectDue(now, due.connection()).ifPresent(job -> ended(job, Result.CONNECT_FAILED));
+            upstreams.connectDue(now, due.connection()).ifPresent(this::connectionLate);
         } else if (timer instanceof Timer.FlowDue due) {
             flowDue(due.job());
         } else if (timer instanceof Timer.CallDue due) {
--- a/src/main/java/ottergauge/routing/Upstreams.java
+++ b/src/main/java/ottergauge/routing/Upstreams.java
@@ -232,6 +232,11 @@
         return notWaitedFor(now, connection);
     }
 
+    /** Whether several connections to a server are late at once. */
+    boolean severalLate(long server) {
+        return knows(server) && byServer.get(server).late >= MOST_LATE;
+    }
+
     private Optional<Job> notWaitedFor(long now, ServerConnection connection) {
         patience.failed(now - connection.openedAt);
         Upstream upstream = connection.upstream;
--- a/src/test/java/ottergauge/routing/ConnectPatienceTest.java
+++ b/src/test/java/ottergauge/routing/ConnectPatienceTest.java
@@ -2,6 +2,7 @@
 package ottergauge.routing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static ottergauge.protocol.TestConfig.host;
@@ -115,6 +116,43 @@
         assertTrue(used, "it stands idle while others are opened");
     }
 
+    // Whether requests come to that server now; those that come to the other one are served.
+    private static boolean isTried(RouterDriver node, String host) {
+        boolean tried = false;
+        for (int i = 0; i < 6 && !tried; i++) {
+            node.request("grant");
+            if (node.has(Connect.class)) {
+                Connect connect = node.expect(Connect.class);
+                tried = host.equals(connect.address().host());
+                if (!tried) {
+                    node.tell(new Event.ServerConnected(connect.connection()));
+                }
+            }
+            while (node.has(Effect.Forward.class)) {
+                node.serve(node.expect(Effect.Forward.class));
+            }
+        }
+        return tried;
+    }
+
+    /** Guards against live servers barred in turn, each for one connection that had not come up yet. */
+    @Test
+    void oneLateConnectionBarsNoServerAndTwoDo() {
+        RouterDriver node = usedToQuickConnections();
+        node.request("grant");
+        String host = node.expect(Connect.class).address().host();
+        while (!node.has(Connect.class)) {
+            node.pass(1);
+        }
+        node.serve(node.connectNext());
+        assertTrue(isTried(node, host), "barred for one");
+        while (!node.has(Effect.Forward.class)) {
+            node.pass(1);
+        }
+        node.serve(node.expect(Effect.Forward.class));
+        assertFalse(isTried(node, host), "used though several connections have not come up");
+    }
+
     @Test
     void notEveryConnectionToAServerThatIsCutOffIsKeptOnItsWay() {
         String server = host("s-1", "10.0.0.1:80", "in_service");
--- a/src/test/java/ottergauge/routing/RouterTest.java
+++ b/src/test/java/ottergauge/routing/RouterTest.java
@@ -431,7 +431,7 @@
 
     @Test
     void whatWaitsForADrainingServersConnectionGoesElsewhere() {
-        RouterDriver node = one();
+        RouterDriver node = watching();
         long client = node.request("grant");
         Connect connect = node.expect(Connect.class);
         node.list(42, false, host("s-1", "10.0.0.1:80", "terminating"), TWO);
