--- a/src/test/java/ottergauge/History.java
+++ b/src/test/java/ottergauge/History.java
@@ -249,7 +249,7 @@
         long limit = send.timeout() == 0 ? left : Math.min(send.timeout(), left);
         Result result = Result.SERVED;
         // One after the other, as a server of one core does: what a cold one can do is reckoned from that.
-        // Served side by side all took as long as one, and the module's time for a request came out too short.
+        // Served side by side all took as long as one, and the module's time for a request was too short.
         long begins = Math.max(node.now, freeAt.getOrDefault(send.server(), 0L));
         long wait = begins - node.now + SERVICE / 2 + random.nextLong(SERVICE);
         freeAt.put(send.server(), node.now + wait);
