--- a/lab/src/main/java/ottergauge/lab/client/Clients.java
+++ b/lab/src/main/java/ottergauge/lab/client/Clients.java
@@ -133,6 +133,18 @@
             connect(call);
         }
         loop.after(waits, () -> stopWaiting(call));
+        if (request.leaves() >= 0) {
+            loop.after((long) (request.leaves() * waits), () -> leave(call));
+        }
+    }
+
+    // It closes its connection and does not come again.
+    private void leave(Call call) {
+        if (!call.over && call.on != null && call.on.call == call) {
+            call.over = true;
+            call.each.leftAt = loop.now();
+            call.on.channel.close();
+        }
     }
 
     private void connect(Call call) {
--- a/lab/src/main/java/ottergauge/lab/client/Plan.java
+++ b/lab/src/main/java/ottergauge/lab/client/Plan.java
@@ -15,9 +15,12 @@
 /** All requests of a play, drawn from its seed before it begins: what nodes do changes none of them. */
 public final class Plan {
 
-    /** A request to come; {@code obeys} says that its client follows advice. */
+    /**
+     * A request to come; {@code obeys} says that its client follows advice, {@code leaves} after which part of
+     * its time its client leaves, or is negative.
+     */
     public record Request(int number, long at, int requestClass, int tenant, int key, long work,
-                          boolean obeys) { }
+                          boolean obeys, double leaves) { }
 
     private Plan() {
     }
@@ -31,6 +34,7 @@
         }
         double[] classes = scenario.classes().stream().mapToDouble(RequestClass::share).toArray();
         double[] tenants = scenario.tenants().stream().mapToDouble(Tenant::traffic).toArray();
+        UniformRandomProvider leaving = RandomSource.XO_SHI_RO_256_PP.create(~scenario.seed());
         List<Request> requests = new ArrayList<>();
         double at = 0;
         while (at < scenario.length()) {
@@ -48,7 +52,8 @@
                 requests.add(new Request(requests.size(), (long) at, type,
                     tenants.length == 0 ? -1 : pick(tenants, random), key,
                     Math.max(100, Math.round(work.get(type).getAsDouble())),
-                    random.nextDouble() < scenario.clients().obey()));
+                    random.nextDouble() < scenario.clients().obey(),
+                    leaving.nextDouble() < scenario.clients().leave() ? leaving.nextDouble() : -1));
             }
         }
         return requests;
--- a/lab/src/main/java/ottergauge/lab/discovery/RegistryHost.java
+++ b/lab/src/main/java/ottergauge/lab/discovery/RegistryHost.java
@@ -47,8 +47,8 @@
     private static final long MS = 1_000;
     // A watch that goes on so soon does not stand in the line again.
     private static final long GOES_ON = 200 * MS;
-    // What a silent watch misses counts as told so long after the wait of its call.
-    private static final long TOLD_AFTER = 2_000 * MS;
+    // Whatever became of calls, a change counts as told so long after it was made and could be asked for.
+    private static final long TOLD_WITHIN = 6_000 * MS;
 
     private record Watch(ChannelHandlerContext ctx, int node, long after, long until) { }
 
@@ -65,6 +65,11 @@
     /** When a watch was answered last, for each connection that is open. */
     private final Map<ChannelHandlerContext, Long> answered = new HashMap<>();
     private final Map<Integer, Map<String, Long>> drainsTold = new LinkedHashMap<>();
+    private final Set<Line> counted = new HashSet<>();
+    private boolean lives = true;
+    private boolean frozen;
+    /** From when on it has answered with what it knows. */
+    private long reachableSince;
     private double callsPerSecond;
     private long freeAt;
 
@@ -108,12 +113,7 @@
 
     /** The watches that are open fall silent: their connections stay up, and nothing comes on them. */
     public void silence() {
-        for (Watch watch : watches) {
-            silent.add(watch.ctx());
-            loop.at(watch.until() + TOLD_AFTER, () -> registry.since(watch.after()).stream()
-                .filter(line -> line.health() != Health.IN_SERVICE)
-                .forEach(line -> counts(watch.node(), line.id())));
-        }
+        watches.forEach(watch -> silent.add(watch.ctx()));
         watches.clear();
     }
 
@@ -173,6 +173,9 @@
 
     /** The list has changed: those who watch are told. */
     public void changed() {
+        long now = loop.now();
+        registry.since(0).stream().filter(line -> line.health() != Health.IN_SERVICE && counted.add(line))
+            .forEach(line -> loop.at(now + TOLD_WITHIN, () -> countsByNow(line, now)));
         for (Watch watch : new ArrayList<>(watches)) {
             List<Line> news = registry.since(watch.after());
             if (!news.isEmpty() && watches.remove(watch)) {
@@ -195,6 +198,27 @@
         answer(ctx, HttpResponseStatus.OK, text.append("]}").toString());
     }
 
+    private void countsByNow(Line line, long since) {
+        if (!lives || frozen || reachableSince > since) {
+            long from = lives && !frozen ? reachableSince : loop.now();
+            loop.at(from + TOLD_WITHIN, () -> countsByNow(line, from));
+        } else if (registry.isLatest(line)) {
+            listeners.keySet().forEach(node -> counts(node, line.id()));
+        }
+    }
+
+    /** It tells what it knew when it froze, or again what it knows. */
+    public void freeze(boolean freezes) {
+        frozen = freezes;
+        if (freezes) {
+            registry.freeze();
+        } else {
+            registry.thaw();
+            reachableSince = loop.now();
+            changed();
+        }
+    }
+
     /** A line as a node is told it. */
     public String entry(int node, Line line) {
         return String.format(Locale.ROOT, "{\"host\":\"%s\",\"dial\":\"%s\",\"site\":\"%s\",\"class\":\"%s\","
@@ -234,7 +258,10 @@
 
     /** Its process is gone, or back. */
     public void up(boolean lives) {
-        if (!lives) {
+        this.lives = lives;
+        if (lives) {
+            reachableSince = loop.now();
+        } else {
             watches.clear();
             links.forEach(Link::resetAll);
         }
@@ -244,6 +271,7 @@
     /** How many calls a second it works through from now on. */
     public void speed(double perSecond) {
         callsPerSecond = perSecond;
+        reachableSince = loop.now();
         freeAt = Math.min(freeAt, loop.now());
     }
 
--- a/lab/src/main/java/ottergauge/lab/ledger/Checker.java
+++ b/lab/src/main/java/ottergauge/lab/ledger/Checker.java
@@ -22,7 +22,7 @@
 public final class Checker {
 
     /** The rules, and what a play may show beside them. */
-    public enum Rule { ANSWER, EFFECT, DRAIN, COLD, CRASH }
+    public enum Rule { ANSWER, EFFECT, DRAIN, COLD, GONE, CRASH }
 
     /** One break of a rule, in words. */
     public record Broken(Rule rule, long at, String what) { }
@@ -35,6 +35,10 @@
     private static final long OVERLAP = 5_000;
     private static final int REFUSED = 503;
     private static final int TOO_MANY = 429;
+    // An attempt that begins so long after its client has left is for nobody; the first cases are put down to
+    // messages that crossed.
+    private static final long GONE_AFTER = 100_000;
+    private static final int GONE_CASES = 2;
     // New connections of a node that is told to end go on being taken for so long.
     private static final long READ_TWICE = 2;
 
@@ -53,6 +57,7 @@
         checker.answers(end);
         checker.effects();
         checker.drains();
+        checker.gone();
         for (Life life : ledger.lives.values()) {
             if (life.fellAt >= 0) {
                 checker.fault(Rule.COLD, life.fellAt, life.server + " was pushed over");
@@ -77,7 +82,7 @@
         Map<Integer, List<long[]>> away = away(end);
         for (Try each : ledger.tries.values()) {
             long due = each.sentAt + each.waits + LOST_AFTER + SOCKET_SLACK;
-            if (each.sentAt < 0 || due > end) {
+            if (each.sentAt < 0 || due > end || each.leftAt >= 0) {
                 continue;
             }
             boolean ran = away.getOrDefault(each.node, List.of()).stream()
@@ -187,6 +192,18 @@
         }
     }
 
+    /** The attempts that began when their client had been away for long enough to be seen. */
+    public static List<Attempt> forNobody(Ledger ledger) {
+        return ledger.attempts.stream()
+            .filter(each -> each.of.leftAt >= 0 && each.firstByteAt > each.of.leftAt + GONE_AFTER).toList();
+    }
+
+    private void gone() {
+        forNobody(ledger).stream().skip(GONE_CASES).forEach(each -> fault(Rule.GONE, each.firstByteAt, each.of.id
+            + " went to " + each.server + " " + (each.firstByteAt - each.of.leftAt) / 1000
+            + " ms after its client had left n" + each.node));
+    }
+
     /** Keyed requests that ran twice because their clients tried again: no node's fault, but counted. */
     public static long secondRuns(Scenario scenario, Ledger ledger) {
         Map<String, Integer> runs = new HashMap<>();
--- a/lab/src/main/java/ottergauge/lab/ledger/Ledger.java
+++ b/lab/src/main/java/ottergauge/lab/ledger/Ledger.java
@@ -52,6 +52,8 @@
         public long sentAt = -1;
         /** When its last answer came, or its connection ended; -1 if neither has. */
         public long answeredAt = -1;
+        /** When the client closed its connection, or -1. */
+        public long leftAt = -1;
         /** When the client stopped waiting, or -1. */
         public long gaveUpAt = -1;
         public int status = OPEN;
--- a/lab/src/main/java/ottergauge/lab/play/Timetable.java
+++ b/lab/src/main/java/ottergauge/lab/play/Timetable.java
@@ -67,10 +67,8 @@
             case REGISTRY_SLOW -> registry(fault, () -> servers.discovery().speed(fault.amount()),
                 () -> servers.discovery().speed(scenario.registry().callsPerSecond()));
             case REGISTRY_SILENT -> servers.discovery().silence();
-            case REGISTRY_FROZEN -> registry(fault, () -> servers.discovery().registry().freeze(), () -> {
-                servers.discovery().registry().thaw();
-                servers.discovery().changed();
-            });
+            case REGISTRY_FROZEN -> registry(fault, () -> servers.discovery().freeze(true),
+                () -> servers.discovery().freeze(false));
             default -> links(fault);
         }
     }
--- a/lab/src/main/java/ottergauge/lab/report/Report.java
+++ b/lab/src/main/java/ottergauge/lab/report/Report.java
@@ -109,6 +109,9 @@
                 each.getValue().getValueAtPercentile(99) / MS);
         }
         out.println("attempts: " + figures.attemptEnds());
+        out.printf("clients that left: %d; attempts for those that had: %d%n",
+            played.ledger().tries.values().stream().filter(each -> each.leftAt >= 0).count(),
+            Checker.forNobody(played.ledger()).size());
         out.printf("worst 100 ms at one target: %d handshakes, %d probes, %d list calls%n",
             figures.worstTenth(Cost.HANDSHAKE), figures.worstTenth(Cost.PROBE),
             figures.worstTenth(Cost.LIST_CALL));
--- a/lab/src/main/java/ottergauge/lab/scenario/Scenario.java
+++ b/lab/src/main/java/ottergauge/lab/scenario/Scenario.java
@@ -39,10 +39,11 @@
 
     /**
      * What clients do: further tries of a request, the wait before one, the part of them that follows advice
-     * on when to come back, and the part of the deadline after which a try is given up.
+     * on when to come back, the part of the deadline after which a try is given up, and the part of the
+     * requests whose client leaves before that.
      */
     public record Clients(int repeats, long pause, double obey, double tryPart, boolean marksRetry,
-                          long notice) { }
+                          long notice, double leave) { }
 
     /** From an instant on, the load as a part of what all servers can do. */
     public record LoadStep(long from, double rate) { }
--- a/lab/src/main/java/ottergauge/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/ottergauge/lab/scenario/ScenarioReader.java
@@ -153,7 +153,7 @@
     private Clients clients(Entry e) throws ScenarioException {
         Clients clients = new Clients((int) e.number("repeats", Range.ANY, 0), e.span("pause", 50 * MS),
             e.number("obey", Range.PART, 0.3), e.number("try_part", Range.PART, 0.55),
-            e.flag("marks_retry", false), e.span("notice", 2 * S));
+            e.flag("marks_retry", false), e.span("notice", 2 * S), e.number("leave", Range.PART, 0));
         e.done();
         return clients;
     }
--- a/lab/src/test/java/ottergauge/lab/ledger/CheckerTest.java
+++ b/lab/src/test/java/ottergauge/lab/ledger/CheckerTest.java
@@ -148,6 +148,26 @@
         expect(Rule.DRAIN, served(0), each -> life.toldAt.put(1, 700 * MS));
     }
 
+    @Test
+    void attemptsForClientsThatHaveLeftAreCaughtFromTheThirdOn() {
+        for (int i = 0; i < 3; i++) {
+            Try each = sent(0);
+            each.leftAt = 1_050 * MS;
+            attempt(each, "s1", 1_100 * MS, 1_200 * MS, "served");
+        }
+        assertEquals(List.of(), broken(), "within the time that an end takes to be seen");
+        for (int i = 0; i < 2; i++) {
+            Try each = sent(0);
+            each.leftAt = 1_050 * MS;
+            attempt(each, "s1", 1_151 * MS, 1_200 * MS, "served");
+        }
+        assertEquals(List.of(), broken());
+        Try third = sent(0);
+        third.leftAt = 1_050 * MS;
+        attempt(third, "s1", 1_300 * MS, 1_400 * MS, "served");
+        assertEquals(List.of(Rule.GONE), broken());
+    }
+
     @Test
     void aColdServerPushedOverAndACrashAreCaught() {
         Life life = new Life("s1", "a", 0, true);
--- a/lab/src/test/java/ottergauge/lab/play/PlayIT.java
+++ b/lab/src/test/java/ottergauge/lab/play/PlayIT.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import ottergauge.lab.play.Play.Program;
 import ottergauge.lab.report.Report;
 import ottergauge.lab.scenario.Scenario;
@@ -64,6 +66,18 @@
         assertTrue(report.figures().steps().get(0).worth() > 0.5, text(report));
     }
 
+    /**
+     * Guards against requests to servers that left while discovery was away or its watches silent, and against
+     * attempts for clients that had left while their requests waited or their node stood still.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"late-list.yaml", "leaving.yaml"})
+    void whatIsOverIsNotSentOn(String scenario) throws Exception {
+        Report report = play(scenario, runLine());
+        assertEquals("[]", report.broken().toString(), text(report));
+        assertTrue(report.figures().steps().get(0).worth() > 0.3, text(report));
+    }
+
     // Whether any process still has this play's folder for its configuration.
     private boolean left() {
         return ProcessHandle.allProcesses().anyMatch(process -> {
