--- a/lab/src/main/java/ottergauge/lab/client/Plan.java
+++ b/lab/src/main/java/ottergauge/lab/client/Plan.java
@@ -16,8 +16,8 @@
 public final class Plan {
 
     /**
-     * A request to come; {@code obeys} says that its client follows advice, {@code leaves} after which part of
-     * its time its client leaves, or is negative.
+     * A request to come; {@code obeys} says that its client follows advice, {@code leaves} after which part
+     * of its time its client leaves, or is negative.
      */
     public record Request(int number, long at, int requestClass, int tenant, int key, long work,
                           boolean obeys, double leaves) { }
--- a/lab/src/main/java/ottergauge/lab/discovery/Registry.java
+++ b/lab/src/main/java/ottergauge/lab/discovery/Registry.java
@@ -60,8 +60,9 @@
     /** Whether this is still the last that is known of its server. */
     public boolean isLatest(Line line) {
         Line listed = lines.get(line.id());
-        return listed != null ? listed.equals(line) : gone.stream().filter(each -> each.id().equals(line.id()))
-            .reduce((first, last) -> last).filter(line::equals).isPresent();
+        return listed != null ? listed.equals(line)
+            : gone.stream().filter(each -> each.id().equals(line.id())).reduce((first, last) -> last)
+                .filter(line::equals).isPresent();
     }
 
     /** What has changed since a version; a frozen one knows of no change. */
--- a/lab/src/main/java/ottergauge/lab/ledger/Checker.java
+++ b/lab/src/main/java/ottergauge/lab/ledger/Checker.java
@@ -199,8 +199,8 @@
     }
 
     private void gone() {
-        forNobody(ledger).stream().skip(GONE_CASES).forEach(each -> fault(Rule.GONE, each.firstByteAt, each.of.id
-            + " went to " + each.server + " " + (each.firstByteAt - each.of.leftAt) / 1000
+        forNobody(ledger).stream().skip(GONE_CASES).forEach(each -> fault(Rule.GONE, each.firstByteAt,
+            each.of.id + " went to " + each.server + " " + (each.firstByteAt - each.of.leftAt) / 1000
             + " ms after its client had left n" + each.node));
     }
 
--- a/lab/src/test/java/ottergauge/lab/play/PlayIT.java
+++ b/lab/src/test/java/ottergauge/lab/play/PlayIT.java
@@ -67,8 +67,8 @@
     }
 
     /**
-     * Guards against requests to servers that left while discovery was away or its watches silent, and against
-     * attempts for clients that had left while their requests waited or their node stood still.
+     * Guards against requests to servers that left while discovery was away or its watches silent, and
+     * against attempts for clients that had left while their requests waited or their node stood still.
      */
     @ParameterizedTest
     @ValueSource(strings = {"late-list.yaml", "leaving.yaml"})
