The laboratory's resets: the stand-in behind a connection hears of its end

The rig is at fault, not the node: Link.reset closed the channel by force and then closed it, and Netty tells of the end of a channel only where the close finds it open. So ServerConnection never noted the end of the attempt, and each retry after such a reset counted as a second copy. By close alone, with SO_LINGER 0 as before, the reset goes out and the end is told.

--- a/lab/src/main/java/ottergauge/lab/net/Link.java
+++ b/lab/src/main/java/ottergauge/lab/net/Link.java
@@ -70,8 +70,8 @@
     }
 
     static void reset(Channel channel) {
+        // Not by force: the stand-in behind it has to hear of its end.
         channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        channel.unsafe().closeForcibly();
         channel.close();
     }
 
--- a/lab/src/test/java/ottergauge/lab/net/LinkTest.java
+++ b/lab/src/test/java/ottergauge/lab/net/LinkTest.java
@@ -16,6 +16,9 @@
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -34,6 +37,7 @@
 
     private final Loop loop = new Loop();
     private final Link link = new Links(1).add("n1", "s1", 0, 0);
+    private final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
     private InetSocketAddress address;
     private Listener listener;
 
@@ -48,6 +52,11 @@
                 public void channelRead(ChannelHandlerContext ctx, Object message) {
                     ctx.writeAndFlush(((ByteBuf) message));
                 }
+
+                @Override
+                public void channelInactive(ChannelHandlerContext ctx) {
+                    ended.add("ended");
+                }
             }));
     }
 
@@ -106,6 +115,20 @@
         return new String(socket.getInputStream().readNBytes(text.length()));
     }
 
+    /**
+     * Guards against a rig that takes an attempt for open whose connection it has reset itself: the stand-in
+     * behind it did not hear of the end, and the next attempt counted as a second copy.
+     */
+    @Test
+    void theStandInHearsOfAResetOfItsConnection() throws Exception {
+        try (Socket socket = connect()) {
+            assertEquals("ok", ask(socket, "ok"));
+            fault(What.LINK_RESET, Way.BOTH, 0, 0);
+            assertThrows(SocketException.class, () -> ask(socket, "lost"));
+            assertEquals("ended", ended.poll(PATIENCE_MS, TimeUnit.MILLISECONDS));
+        }
+    }
+
     @Test
     void withNothingWrongBytesPass() throws Exception {
         try (Socket socket = connect()) {
