--- /dev/null
+++ b/src/main/java/ottergauge/resources/ResourceKind.java
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.resources;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/** The kinds of resources, in the order in which a snapshot lists them. */
+public enum ResourceKind {
+    SERVICE, SERVER, ROUTE, TENANT, SETTINGS;
+
+    /** The kind's name in messages. */
+    public String wireName() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** The kind of this name in messages; empty if there is none. */
+    public static Optional<ResourceKind> ofWireName(String name) {
+        for (ResourceKind kind : values()) {
+            if (kind.wireName().equals(name)) {
+                return Optional.of(kind);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- a/src/test/java/ottergauge/ArchitectureTest.java
+++ b/src/test/java/ottergauge/ArchitectureTest.java
@@ -61,6 +61,8 @@
             .layer("migration").definedBy("ottergauge.migration..")
             .layer("simhost").definedBy("ottergauge.simhost..")
             .layer("protocol").definedBy("ottergauge.protocol..")
+            .layer("resources").definedBy("ottergauge.resources..")
+            .optionalLayer("replica").definedBy("ottergauge.replica..")
             .layer("routing").definedBy("ottergauge.routing..")
             .layer("transport").definedBy("ottergauge.transport..")
             .layer("program").definedBy("ottergauge.program..")
@@ -68,9 +70,12 @@
             .whereLayer("transport").mayOnlyBeAccessedByLayers("program")
             .whereLayer("simhost").mayOnlyBeAccessedByLayers("program")
             .whereLayer("routing").mayOnlyBeAccessedByLayers("transport")
-            .whereLayer("protocol").mayOnlyBeAccessedByLayers("routing", "transport", "program")
+            .whereLayer("replica").mayOnlyBeAccessedByLayers("transport", "program")
+            .whereLayer("resources").mayOnlyBeAccessedByLayers("replica", "transport", "program")
+            .whereLayer("protocol").mayOnlyBeAccessedByLayers("resources", "replica", "routing", "transport",
+                "program")
             .whereLayer("migration").mayOnlyBeAccessedByLayers("program")
-            .whereLayer("settings").mayOnlyBeAccessedByLayers("protocol", "simhost", "program")
+            .whereLayer("settings").mayOnlyBeAccessedByLayers("protocol", "resources", "simhost", "program")
             .check(all);
     }
 
@@ -78,6 +83,7 @@
     void eachLayerUsesItsOwnLibrariesOnly() {
         onlyUses("ottergauge.routing..", "java.lang..", "java.util..", "java.nio.charset");
         onlyUses("ottergauge.protocol..", "java..", "com.fasterxml.jackson.core..");
+        onlyUses("ottergauge.resources..", "java..", "com.fasterxml.jackson.core..");
         onlyUses("ottergauge.settings..", "java..", "com.fasterxml.jackson.core..");
         onlyUses("ottergauge.migration..", "java.lang..", "java.util..");
         onlyUses("ottergauge.transport..", "java..", "io.vertx.core..", "io.netty..", "org.slf4j..");
@@ -85,11 +91,13 @@
 
     @Test
     void valuesAndStateDoNoIo() {
-        noClasses().that(resideInAnyPackage("ottergauge.protocol..", "ottergauge.routing.."))
+        noClasses().that(resideInAnyPackage("ottergauge.protocol..", "ottergauge.routing..",
+                "ottergauge.resources..", "ottergauge.replica.."))
             .should().accessClassesThat().resideInAnyPackage("java.net..", "java.nio.file..",
                 "java.nio.channels..")
             .check(all);
-        noClasses().that(resideInAnyPackage("ottergauge.protocol..", "ottergauge.routing.."))
+        noClasses().that(resideInAnyPackage("ottergauge.protocol..", "ottergauge.routing..",
+                "ottergauge.resources..", "ottergauge.replica.."))
             .should().accessClassesThat().belongToAnyOf(System.class, Thread.class).check(all);
     }
 
