Whole lists of over 1 MiB are read, and an ignored SIGHUP is told of

Cause: DiscoverySide.MOST_LIST was 1 MiB, and a list of 8,000 servers has 1.4 to 1.5 MB. Each call ended as MALFORMED, the node kept its list and asked anew within about a second, for ever: a hundred times its allowance.

Change: the bound is a sixteenth of memory_mb (NodeConfig.mostListBytes), a list is read entry by entry by Jackson's parser with no tree of it in memory, also the one in the configuration, and HostCodec is the one place that reads and writes an entry. A list that is too large or no list leaves the one before in force; after three in a row the pause grows from the deadline to 64 times that. One line tells size and bound; the connection ends as TOO_LARGE.

The virtual machine leaves SIGHUP alone where it was ignored when the program was started. The handler before ours tells so, and a warning does.

--- a/src/main/java/ottergauge/program/ServeCommand.java
+++ b/src/main/java/ottergauge/program/ServeCommand.java
@@ -17,6 +17,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Runs one node until it is told to stop; SIGHUP has it read its configuration again. */
 @Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
@@ -42,9 +43,7 @@
 
     @Override
     public Integer call() throws InterruptedException {
-        // Unhandled, the signal would end the virtual machine; a node may be given a new configuration while
-        // it is still starting.
-        Signal.handle(new Signal("HUP"), hangUp -> reload());
+        handleHangUp();
         NodeConfig config;
         try {
             config = read();
@@ -66,6 +65,16 @@
         return 1;
     }
 
+    // Unhandled, the signal would end the virtual machine; a node may be given a new configuration while it
+    // is still starting. One that was ignored when the program was started stays so in the virtual machine.
+    private void handleHangUp() {
+        SignalHandler before = Signal.handle(new Signal("HUP"), hangUp -> reload());
+        if (before == SignalHandler.SIG_IGN) {
+            LOG.warn("SIGHUP is ignored, as nohup hands it down: this node takes over no new configuration "
+                + "until it is started again, without nohup");
+        }
+    }
+
     // What goes wrong with made-up requests costs a warm start, never the node.
     private static void rehearse(NodeConfig config) {
         try {
--- a/src/main/java/ottergauge/protocol/HostList.java
+++ b/src/main/java/ottergauge/protocol/HostList.java
@@ -6,11 +6,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import ottergauge.DecisionApi.ServerState;
-import ottergauge.settings.JsonTree;
 
 /** Discovery's list of servers, whole or only what changed. */
 public record HostList(long seq, boolean whole, List<Host> hosts) {
@@ -21,44 +18,11 @@
 
     public static final HostList EMPTY = new HostList(0, true, List.of());
 
-    // The largest whole number that a JSON number tells exactly.
-    private static final long MOST_SEQ = 1L << 53;
     private static final JsonFactory JSON = new JsonFactory();
 
     /** Reads discovery's answer. */
     public static HostList read(byte[] body) throws ProtocolException {
-        try {
-            return of(JsonTree.read(body));
-        } catch (IOException e) {
-            throw new ProtocolException("the list: " + e.getMessage());
-        }
-    }
-
-    static HostList of(Map<?, ?> tree) throws ProtocolException {
-        if (!(tree.get("seq") instanceof Double seq) || !(tree.get("hosts") instanceof List<?> entries)) {
-            throw new ProtocolException("a list needs seq and hosts");
-        }
-        if (!(seq >= 0 && seq <= MOST_SEQ)) {
-            throw new ProtocolException("seq is a whole number from 0 to " + MOST_SEQ + ", not " + seq);
-        }
-        List<Host> hosts = new ArrayList<>();
-        for (Object entry : entries) {
-            if (!(entry instanceof Map<?, ?> fields)) {
-                throw new ProtocolException("an entry is an object");
-            }
-            hosts.add(host(fields));
-        }
-        return new HostList(seq.longValue(), Boolean.TRUE.equals(tree.get("whole")), hosts);
-    }
-
-    private static Host host(Map<?, ?> fields) throws ProtocolException {
-        if (!(fields.get("host") instanceof String name) || name.isEmpty()) {
-            throw new ProtocolException("an entry needs a host");
-        }
-        return new Host(name, Address.parse(text(fields, "dial")), text(fields, "site"),
-            text(fields, "class"), (int) number(fields, "block", 0),
-            state(text(fields, "health")), number(fields, "share", 1),
-            (long) number(fields, "born_ms", 0));
+        return HostListReader.read(body);
     }
 
     /** The list in discovery's form. */
@@ -70,7 +34,9 @@
             out.writeBooleanField("whole", whole);
             out.writeArrayFieldStart("hosts");
             for (Host host : hosts) {
-                write(out, host);
+                out.writeStartObject();
+                HostCodec.writeFields(out, host);
+                out.writeEndObject();
             }
             out.writeEndArray();
             out.writeEndObject();
@@ -79,42 +45,4 @@
         }
         return bytes.toByteArray();
     }
-
-    private static void write(JsonGenerator out, Host host) throws IOException {
-        out.writeStartObject();
-        out.writeStringField("host", host.name());
-        out.writeStringField("dial", host.dial().toString());
-        if (host.site() != null) {
-            out.writeStringField("site", host.site());
-        }
-        if (host.kind() != null) {
-            out.writeStringField("class", host.kind());
-        }
-        out.writeNumberField("block", host.block());
-        out.writeStringField("health", switch (host.state()) {
-            case UP -> "in_service";
-            case DRAINING -> "terminating";
-            case GONE -> "terminated";
-        });
-        out.writeNumberField("share", host.share());
-        out.writeNumberField("born_ms", host.bornMs());
-        out.writeEndObject();
-    }
-
-    private static ServerState state(String health) throws ProtocolException {
-        return switch (String.valueOf(health)) {
-            case "in_service" -> ServerState.UP;
-            case "terminating" -> ServerState.DRAINING;
-            case "terminated" -> ServerState.GONE;
-            default -> throw new ProtocolException("unknown health " + health);
-        };
-    }
-
-    private static String text(Map<?, ?> fields, String key) {
-        return fields.get(key) instanceof String text ? text : null;
-    }
-
-    private static double number(Map<?, ?> fields, String key, double absent) {
-        return fields.get(key) instanceof Double number ? number : absent;
-    }
 }
--- /dev/null
+++ b/src/main/java/ottergauge/protocol/HostListReader.java
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.protocol;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import ottergauge.protocol.HostList.Host;
+
+/** Reads a list of servers entry by entry: no more of it is in memory than its bytes and its servers. */
+final class HostListReader {
+
+    // The largest whole number that a JSON number tells exactly.
+    private static final long MOST_SEQ = 1L << 53;
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private Double seq;
+    private boolean whole;
+    private List<Host> hosts;
+
+    private HostListReader() {
+    }
+
+    /** Reads a message that is one list and nothing behind it. */
+    static HostList read(byte[] body) throws ProtocolException {
+        try (JsonParser in = JSON.createParser(body)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new ProtocolException("the list is no JSON object");
+            }
+            HostList list = read(in);
+            if (in.nextToken() != null) {
+                throw new ProtocolException("the list has something behind its object");
+            }
+            return list;
+        } catch (IOException e) {
+            throw new ProtocolException("the list: " + e.getMessage());
+        }
+    }
+
+    /** Reads the list whose opening brace is the parser's current token. */
+    static HostList read(JsonParser in) throws IOException, ProtocolException {
+        HostListReader reader = new HostListReader();
+        while (in.nextToken() != JsonToken.END_OBJECT) {
+            String field = in.currentName();
+            in.nextToken();
+            reader.take(field, in);
+        }
+        return reader.list();
+    }
+
+    private void take(String field, JsonParser in) throws IOException, ProtocolException {
+        switch (field) {
+            case "seq" -> seq = in.currentToken().isNumeric() ? in.getDoubleValue() : null;
+            case "whole" -> whole = in.currentToken() == JsonToken.VALUE_TRUE;
+            case "hosts" -> hosts = in.currentToken() == JsonToken.START_ARRAY ? entries(in) : null;
+            default -> { }
+        }
+        in.skipChildren();
+    }
+
+    private static List<Host> entries(JsonParser in) throws IOException, ProtocolException {
+        List<Host> entries = new ArrayList<>();
+        while (in.nextToken() != JsonToken.END_ARRAY) {
+            entries.add(HostCodec.read(in));
+        }
+        return entries;
+    }
+
+    private HostList list() throws ProtocolException {
+        if (seq == null || hosts == null) {
+            throw new ProtocolException("a list needs seq and hosts");
+        }
+        if (!(seq >= 0 && seq <= MOST_SEQ)) {
+            throw new ProtocolException("seq is a whole number from 0 to " + MOST_SEQ + ", not " + seq);
+        }
+        return new HostList(seq.longValue(), whole, hosts);
+    }
+}
--- a/src/main/java/ottergauge/protocol/NodeConfig.java
+++ b/src/main/java/ottergauge/protocol/NodeConfig.java
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.protocol;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -19,18 +22,41 @@
                          int memoryMb) {
 
     private static final int HEXADECIMAL = 16;
+    // A list may have a sixteenth of the memory while it is read: its servers take some three times as much.
+    private static final int LIST_PART = 16;
+    private static final int BYTES_A_MB = 1 << 20;
+    // The list as the node had it last: as large as the fleet, it is read entry by entry.
+    private static final String KNOWN = "known";
+    private static final JsonFactory JSON = new JsonFactory();
 
     /** Reads the configuration file's content. */
     public static NodeConfig read(byte[] content) throws ProtocolException {
-        try {
-            return of(JsonTree.read(content));
+        Map<String, Object> tree = new LinkedHashMap<>();
+        HostList known = HostList.EMPTY;
+        try (JsonParser in = JSON.createParser(content)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new ProtocolException("the configuration is no JSON object");
+            }
+            while (in.nextToken() != JsonToken.END_OBJECT) {
+                String key = in.currentName();
+                boolean list = in.nextToken() == JsonToken.START_OBJECT && KNOWN.equals(key);
+                if (list) {
+                    known = HostListReader.read(in);
+                } else {
+                    tree.put(key, JsonTree.value(in));
+                }
+            }
+            if (in.nextToken() != null) {
+                throw new ProtocolException("the configuration has something behind its object");
+            }
         } catch (IOException e) {
             throw new ProtocolException("the configuration: " + e.getMessage());
         }
+        return of(tree, known);
     }
 
     @SuppressWarnings("unchecked")
-    private static NodeConfig of(Map<String, Object> tree) throws ProtocolException {
+    private static NodeConfig of(Map<String, Object> tree, HostList known) throws ProtocolException {
         if (!(tree.get("settings") instanceof Map<?, ?> map)) {
             throw new ProtocolException("the configuration has no settings");
         }
@@ -43,8 +69,6 @@
         settings.put("registryMode", "on_request");
         SettingsReader root = new SettingsReader(tree);
         SettingsReader limits = new SettingsReader(settings).child("ceilings");
-        HostList known = tree.get("known") instanceof Map<?, ?> list ? HostList.of(list)
-            : HostList.EMPTY;
         Settings read = SettingsReader.settings(settings);
         if (read.classes().isEmpty()) {
             throw new ProtocolException("the settings name no classes");
@@ -59,6 +83,11 @@
             (int) root.child("limits").number("memory_mb", 128));
     }
 
+    /** The largest list of servers, in bytes, that the node reads: it follows from the memory limit. */
+    public int mostListBytes() {
+        return (int) Math.min(Integer.MAX_VALUE / 2, Math.max(1L, memoryMb / LIST_PART) * BYTES_A_MB);
+    }
+
     /** The same with an operators' address, if it has none yet and there is one. */
     public NodeConfig managedAt(String address) throws ProtocolException {
         return management != null || address == null || address.isEmpty() ? this
--- a/src/main/java/ottergauge/routing/CloseReason.java
+++ b/src/main/java/ottergauge/routing/CloseReason.java
@@ -23,6 +23,8 @@
     DELISTED,
     /** What came on it is no request or answer. */
     MALFORMED,
+    /** An answer on it is larger than the node takes. */
+    TOO_LARGE,
     /** A request on it was begun and not finished in time. */
     SLOW_REQUEST,
     /** Its client did not take the answer in time. */
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -77,6 +77,9 @@
 
     record ListCallFailed(long call) implements Event { }
 
+    /** A call was answered by a list that is too large, or no list: the one before stays in force. */
+    record ListNotTaken(long call) implements Event { }
+
     /** The node has been given a new configuration. */
     record Reconfigured(NodeConfig config) implements Event { }
 
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -184,6 +184,8 @@
             listRead(e);
         } else if (event instanceof Event.ListCallFailed e) {
             watch.failed(now, e.call());
+        } else if (event instanceof Event.ListNotTaken e) {
+            watch.notTaken(now, e.call());
         } else if (event instanceof Event.Reconfigured e) {
             limitSockets(e.config().sockets());
             watch.move(now, e.config().discovery());
--- a/src/main/java/ottergauge/routing/Watch.java
+++ b/src/main/java/ottergauge/routing/Watch.java
@@ -26,6 +26,12 @@
     // well within the 200 ms in which a watch goes on.
     private static final long LEAST_GAP = 50_000;
 
+    // A list that can't be taken is asked for again after the deadline, and each time after twice as long, up
+    // to this many doublings: six minutes where the deadline is six seconds.
+    private static final int MOST_DOUBLINGS = 6;
+    // An answer that was spoilt on its way is sound the next time: so many in a row are no chance.
+    private static final int SPOILT_BY_CHANCE = 3;
+
     // Asks for the whole list: versions of one address need not be those of another.
     private static final long NO_VERSION = -1;
     private static final long NONE = 0;
@@ -47,6 +53,8 @@
     /** Whether a call of this watch was answered: it is open, and not only asked for. */
     private boolean answered;
     private int failures;
+    /** How many lists in a row could not be taken. */
+    private int notTaken;
     /** When the newest list was in hand. */
     private long heardAt = Long.MAX_VALUE;
 
@@ -87,6 +95,7 @@
             giveUp(current, CloseReason.DISCOVERY_MOVED);
             former = NONE;
             failures = 0;
+            notTaken = 0;
             heardAt = now;
             open(now);
         }
@@ -158,6 +167,23 @@
         }
     }
 
+    /**
+     * A call was answered by a list that can't be taken: the one before stays in force. Asked for again at
+     * once it would come again at its full size, from each node and for ever.
+     */
+    void notTaken(long now, long call) {
+        if (call != current || ++notTaken <= SPOILT_BY_CHANCE) {
+            failed(now, call);
+        } else {
+            current = NONE;
+            failures++;
+            int doublings = Math.min(notTaken - SPOILT_BY_CHANCE - 1, MOST_DOUBLINGS);
+            long longest = deadline.within() << doublings;
+            effects.accept(new StartTimer(longest / 2 + random.nextLong(longest / 2 + 1),
+                new Timer.NextCall(lastCall)));
+        }
+    }
+
     private void giveUp(long call, CloseReason why) {
         if (call != NONE) {
             effects.accept(new GiveUpCall(call, why));
@@ -214,6 +240,7 @@
         current = NONE;
         answered = true;
         failures = 0;
+        notTaken = 0;
         if (!news && now - calledAt < LEAST_GAP) {
             effects.accept(new StartTimer(LEAST_GAP, new Timer.NextCall(lastCall)));
         } else {
--- a/src/main/java/ottergauge/settings/JsonTree.java
+++ b/src/main/java/ottergauge/settings/JsonTree.java
@@ -80,7 +80,8 @@
         return map;
     }
 
-    private static Object value(JsonParser in) throws IOException {
+    /** Reads the value that is the current token. */
+    public static Object value(JsonParser in) throws IOException {
         return switch (in.currentToken()) {
             case START_OBJECT -> object(in);
             case START_ARRAY -> {
--- a/src/main/java/ottergauge/transport/DiscoverySide.java
+++ b/src/main/java/ottergauge/transport/DiscoverySide.java
@@ -23,6 +23,7 @@
 import ottergauge.routing.Effect.GiveUpCall;
 import ottergauge.routing.Event;
 import ottergauge.routing.Event.ListCallFailed;
+import ottergauge.routing.Event.ListNotTaken;
 import ottergauge.routing.Event.ListRead;
 
 /** The calls to discovery: each on a connection of its own, which is kept for the next one. */
@@ -31,19 +32,20 @@
     private static final Logger LOG = LoggerFactory.getLogger(DiscoverySide.class);
     private static final int OK = 200;
     private static final long CONNECT_WITHIN_MS = 2_000;
-    // A fleet's whole list, at some hundred bytes a server, may be larger than a request's body.
-    private static final int MOST_LIST = 1 << 20;
 
     private final NetClient client;
+    /** The largest list that is read, in bytes. */
+    private final int mostListBytes;
     private final Consumer<Event> events;
     /** The calls that are out; those whose connection is not up yet have none. */
     private final Map<Long, Optional<Outbound>> out = new HashMap<>();
     private Outbound idle;
     private Address idleAt;
 
-    DiscoverySide(NetClient client, Consumer<Event> events) {
+    DiscoverySide(NetClient client, int mostListBytes, Consumer<Event> events) {
         this.events = events;
         this.client = client;
+        this.mostListBytes = mostListBytes;
     }
 
     void call(CallDiscovery effect) {
@@ -60,13 +62,13 @@
             kept.close(CloseReason.DISCOVERY_MOVED);
         }
         out.put(effect.call(), Optional.empty());
-        Outbound.connect(client, "discovery", effect.address(), CONNECT_WITHIN_MS, MOST_LIST)
+        Outbound.connect(client, "discovery", effect.address(), CONNECT_WITHIN_MS, mostListBytes)
             .onComplete(opened -> connected(effect, opened), failure -> fail(effect.call(),
                 failure.toString()));
     }
 
     private void connected(CallDiscovery effect, Outbound opened) {
-        opened.whenEnded(why -> ended(opened));
+        opened.whenEnded(why -> ended(opened, why));
         if (out.containsKey(effect.call())) {
             ask(effect, opened);
         } else {
@@ -74,12 +76,26 @@
         }
     }
 
-    private void ended(Outbound connection) {
+    private void ended(Outbound connection, CloseReason why) {
         if (connection == idle) {
             idle = null;
         }
-        List.copyOf(out.entrySet()).stream().filter(each -> each.getValue().orElse(null) == connection)
-            .forEach(each -> fail(each.getKey(), "the connection ended"));
+        List<Long> calls = out.entrySet().stream()
+            .filter(each -> each.getValue().orElse(null) == connection).map(Map.Entry::getKey).toList();
+        for (long call : calls) {
+            if (why == CloseReason.TOO_LARGE) {
+                tooLarge(call, connection.announced());
+            } else {
+                fail(call, "the connection ended");
+            }
+        }
+    }
+
+    private void tooLarge(long call, long announced) {
+        out.remove(call);
+        LOG.error("the list of {} bytes is over the bound of {} bytes, which follows from memory_mb: the one "
+            + "before stays in force", announced > 0 ? announced : "more", mostListBytes);
+        events.accept(new ListNotTaken(call));
     }
 
     private void ask(CallDiscovery effect, Outbound connection) {
@@ -103,7 +119,10 @@
         try {
             list = HostList.read(answer.body());
         } catch (ProtocolException e) {
-            fail(effect.call(), e.getMessage());
+            out.remove(effect.call());
+            connection.close(CloseReason.MALFORMED);
+            LOG.warn("a call to discovery failed: {}", e.getMessage());
+            events.accept(new ListNotTaken(effect.call()));
             return;
         }
         out.remove(effect.call());
--- a/src/main/java/ottergauge/transport/ListStore.java
+++ b/src/main/java/ottergauge/transport/ListStore.java
@@ -15,13 +15,13 @@
 final class ListStore {
 
     private static final Logger LOG = LoggerFactory.getLogger(ListStore.class);
-    // As large as a list that discovery may send.
-    private static final int MOST_BYTES = 1 << 20;
-
     private final Path file;
     private final Path part;
+    private final int mostBytes;
 
-    ListStore(Path folder) {
+    /** The list in this folder; one of more bytes is passed over. */
+    ListStore(Path folder, int mostBytes) {
+        this.mostBytes = mostBytes;
         file = folder.resolve("list.json");
         part = folder.resolve("list-" + ProcessHandle.current().pid());
     }
@@ -38,7 +38,7 @@
     /** The configuration with the list that was kept, if that is the newer one. */
     NodeConfig freshest(NodeConfig config, boolean accompanied) {
         try {
-            if (Files.exists(file) && Files.size(file) <= MOST_BYTES) {
+            if (Files.exists(file) && Files.size(file) <= mostBytes) {
                 HostList kept = HostList.read(Files.readAllBytes(file));
                 // Beside a process that lives it is up to date; left by one that has gone it may be older.
                 if (accompanied || kept.seq() > config.known().seq()) {
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -52,7 +52,7 @@
 
     /** A node; without a folder that its processes share, it has one process at a time. */
     public NodeServer(NodeConfig told, Path folder) {
-        shared = told.management() == null || folder == null ? null : open(folder);
+        shared = told.management() == null || folder == null ? null : open(folder, told.mostListBytes());
         config = shared == null ? told : shared.freshest(told);
         // Addresses are numbers: nothing is asked of DNS.
         System.setProperty("vertx.disableDnsResolver", "true");
@@ -69,14 +69,14 @@
         client = vertx.createNetClient();
         servers = new ServerSide((address, timeoutMs) ->
             Outbound.connect(client, "server", address, timeoutMs, Headers.MOST_BODY), events::take);
-        discovery = new DiscoverySide(client, events::take);
+        discovery = new DiscoverySide(client, config.mostListBytes(), events::take);
         door = new Door(context.nettyEventLoop(), watch, events::take);
     }
 
     // Without it a node serves all the same: an upgrade then ends like a restart.
-    private static SharedFolder open(Path folder) {
+    private static SharedFolder open(Path folder, int mostListBytes) {
         try {
-            return new SharedFolder(folder);
+            return new SharedFolder(folder, mostListBytes);
         } catch (IOException e) {
             LOG.error("{} cannot be shared with a next process: {}", folder.getFileName(), e.toString());
             return null;
--- a/src/main/java/ottergauge/transport/Outbound.java
+++ b/src/main/java/ottergauge/transport/Outbound.java
@@ -61,6 +61,7 @@
     private long flowed;
     private long headAt;
     private int reads;
+    private long announced;
     private Runnable openEnded = () -> { };
 
     private Outbound(String side, Framing.Answers decoder, int mostBody) {
@@ -159,10 +160,12 @@
         head = response;
         body = new MessageBody(mostBody);
         stage = interim ? Stage.ASKED : Stage.BODY;
-        if (Framing.fault(response) != null || !interim && HttpUtil.getContentLength(response, 0L)
-            > (flowBegan == null ? mostBody : Headers.MOST_FLOW)) {
+        announced = HttpUtil.getContentLength(response, 0L);
+        if (Framing.fault(response) != null) {
+            fail(CloseReason.MALFORMED);
+        } else if (!interim && announced > (flowBegan == null ? mostBody : Headers.MOST_FLOW)) {
             // An answer with a huge length never ends.
-            fail();
+            fail(CloseReason.TOO_LARGE);
         } else if (!interim && flowBegan != null) {
             headAt = System.nanoTime();
             reads = 0;
@@ -179,12 +182,12 @@
             return;
         }
         if (content.decoderResult().isFailure()) {
-            fail();
+            fail(CloseReason.MALFORMED);
         } else if (stage == Stage.FLOWING) {
             flow(content);
         } else if (!body.take(content.content())) {
             if (flowBegan == null || interim) {
-                fail();
+                fail(CloseReason.TOO_LARGE);
             } else {
                 beginFlow();
                 if (stage == Stage.FLOWING && head != null) {
@@ -227,7 +230,7 @@
     private void flow(HttpContent content) {
         flowed += content.content().readableBytes();
         if (flowed > Headers.MOST_FLOW) {
-            fail();
+            fail(CloseReason.TOO_LARGE);
         } else if (content instanceof LastHttpContent) {
             // The client's answer ends with it: not before it is known whether it came alone.
             last = content.retain();
@@ -249,9 +252,14 @@
         flow.on(client, written);
     }
 
-    private void fail() {
+    private void fail(CloseReason why) {
         head = null;
-        close(CloseReason.MALFORMED);
+        close(why);
+    }
+
+    /** The length that the answer's head tells; 0 if it tells none. */
+    long announced() {
+        return announced;
     }
 
     private Answer answer(boolean alone) {
--- a/src/main/java/ottergauge/transport/ServerSide.java
+++ b/src/main/java/ottergauge/transport/ServerSide.java
@@ -13,8 +13,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.vertx.core.Future;
 import java.nio.charset.StandardCharsets;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import ottergauge.protocol.Address;
 import ottergauge.protocol.Content;
@@ -50,6 +52,9 @@
         Future<Outbound> connect(Address address, long timeoutMs);
     }
 
+    // What came was read as far as it could be: the server is there, and its answer is none.
+    private static final Set<CloseReason> SPOILT = EnumSet.of(CloseReason.MALFORMED, CloseReason.TOO_LARGE);
+
     private final Connector connector;
     private final Consumer<Event> events;
     private final Map<Long, Outbound> connections = new HashMap<>();
@@ -71,7 +76,7 @@
                 answer -> events.accept(new AnswerRead(number, read(answer, false))));
             connection.whenEnded(why -> {
                 connections.remove(number);
-                events.accept(new ServerClosed(number, why == CloseReason.MALFORMED));
+                events.accept(new ServerClosed(number, SPOILT.contains(why)));
             });
             events.accept(new ServerConnected(number));
         }, failure -> events.accept(new ConnectFailed(number)));
--- a/src/main/java/ottergauge/transport/SharedFolder.java
+++ b/src/main/java/ottergauge/transport/SharedFolder.java
@@ -14,11 +14,11 @@
     private final ListStore list;
 
     /** Opens the folder, which is made if need be; this process counts as living from now on. */
-    SharedFolder(Path folder) throws IOException {
+    SharedFolder(Path folder, int mostListBytes) throws IOException {
         Files.createDirectories(folder);
         held = new HeldStore(folder);
         siblings = new Siblings(folder);
-        list = new ListStore(folder);
+        list = new ListStore(folder, mostListBytes);
         siblings.appear();
     }
 
--- a/src/test/java/ottergauge/program/NodeIT.java
+++ b/src/test/java/ottergauge/program/NodeIT.java
@@ -470,4 +470,23 @@
             assertFalse(reached, "another address is served too");
         }
     }
+
+    /** Guards against a node that never reloads and says nothing: nohup hands down an ignored SIGHUP. */
+    @Test
+    void anIgnoredHangUpIsToldOfAtTheStart() throws Exception {
+        int port = RunningNode.freePort();
+        String config = new TestConfig().at("127.0.0.1:" + port, NOWHERE).json();
+        try (RunningNode node = RunningNode.startAfter("trap '' HUP; ", folder, config, port)) {
+            node.awaitLog("SIGHUP is ignored");
+            node.awaitLog("listens on");
+            node.hangUp(config);
+            node.signal("TERM");
+            node.exitCode();
+            assertFalse(node.log().contains("goes on with discovery"), node.log());
+        }
+        try (RunningNode node = RunningNode.start(folder, config, port)) {
+            node.awaitLog("listens on");
+            assertFalse(node.log().contains("SIGHUP"), node.log());
+        }
+    }
 }
--- a/src/test/java/ottergauge/program/RunningNode.java
+++ b/src/test/java/ottergauge/program/RunningNode.java
@@ -81,15 +81,25 @@
         return Files.newOutputStream(file);
     }
 
+    /** Starts a node by a shell that runs this first. */
+    static RunningNode startAfter(String first, Path folder, String config, int port)
+        throws IOException {
+        return start(first, folder, Files.writeString(folder.resolve("config.json"), config), port);
+    }
+
     private static RunningNode start(Path folder, Path file, int port) throws IOException {
+        return start("", folder, file, port);
+    }
+
+    private static RunningNode start(String first, Path folder, Path file, int port) throws IOException {
         Path log = folder.resolve("log-" + START.incrementAndGet());
         Matcher run = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE)
             .matcher(Files.readString(Path.of("deploy/balancer.toml")));
         if (!run.find()) {
             return fail("no run line");
         }
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1)).redirectErrorStream(true)
-            .redirectOutput(log.toFile());
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", first + run.group(1))
+            .redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("BALANCER_CONFIG", file.toString());
         // Of the node and not of the process, as the platform has it.
         builder.environment().put("TMPDIR", folder.toString());
--- a/src/test/java/ottergauge/routing/WatchTest.java
+++ b/src/test/java/ottergauge/routing/WatchTest.java
@@ -157,6 +157,47 @@
         assertEquals(42, expect(CallDiscovery.class).after());
     }
 
+    /** Guards against a list that can't be taken and is sent whole about once a second, for ever. */
+    @Test
+    void aListThatIsNeverTakenIsAskedForLessAndLessOften() {
+        watch.begin(0);
+        long now = 0;
+        List<Long> pauses = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            CallDiscovery call = expect(CallDiscovery.class);
+            effects.clear();
+            watch.notTaken(now, call.call());
+            StartTimer pause = expect(StartTimer.class);
+            assertEquals(call.call(), ((Timer.NextCall) pause.timer()).after());
+            pauses.add(pause.delay());
+            now += pause.delay();
+            watch.resume(now, call.call());
+        }
+        assertTrue(pauses.subList(0, 3).stream().allMatch(pause -> pause < 2 * SECOND),
+            "spoilt by chance it is sound the next time: " + pauses);
+        assertTrue(pauses.get(3) >= 3 * SECOND, pauses.toString());
+        assertTrue(pauses.subList(10, 20).stream().allMatch(pause -> pause >= 100 * SECOND),
+            pauses.toString());
+        assertTrue(pauses.stream().allMatch(pause -> pause <= 400 * SECOND), pauses.toString());
+        assertFalse(watch.stale(now), "the list before stays in force");
+    }
+
+    @Test
+    void onceAListIsTakenSpoiltOnesCountAnew() {
+        CallDiscovery call = watching();
+        for (int i = 0; i < 6; i++) {
+            effects.clear();
+            watch.notTaken(2 * SECOND, call.call());
+            watch.resume(3 * SECOND, call.call());
+            call = expect(CallDiscovery.class);
+        }
+        watch.read(4 * SECOND, call.call(), DRAINS);
+        CallDiscovery next = expect(CallDiscovery.class);
+        effects.clear();
+        watch.notTaken(5 * SECOND, next.call());
+        assertEquals(42, expect(CallDiscovery.class).after(), "a watch that breaks is opened anew at once");
+    }
+
     private record Asked(int node, long at, CallDiscovery call) { }
 
     /**
