Codec and checks of versioned resources; one codec for a server's fields

Need: nodes, control processes and operators exchange entries, changes and pages of docs/control.md, and each side has to say what is wrong with what it gets.

ResourceChecks and SettingsChecks name what is wrong by key, value and allowed form; settings that reach all nodes at once are held to their types and to spans of up to a week, beyond what a node asks of its own file. A change or an entry that can't be made out (a later form, a number out of range) is given back as unreadable beside the others: a page that was refused whole for it would keep a node from all that comes after.

HostCodec holds the fields of a server for discovery's list and for resources. SettingsReader tells its fault as key, value and allowed form beside the line that it gave before; the line is unchanged.

Random pages are read as they were written (500 draws each); cut, flipped and random bytes end in ProtocolException of one line and nothing else (300, 500 and 5,000 draws).

--- a/src/main/java/ottergauge/protocol/HostList.java
+++ b/src/main/java/ottergauge/protocol/HostList.java
@@ -55,10 +55,7 @@
         if (!(fields.get("host") instanceof String name) || name.isEmpty()) {
             throw new ProtocolException("an entry needs a host");
         }
-        return new Host(name, Address.parse(text(fields, "dial")), text(fields, "site"),
-            text(fields, "class"), (int) number(fields, "block", 0),
-            state(text(fields, "health")), number(fields, "share", 1),
-            (long) number(fields, "born_ms", 0));
+        return HostCodec.read(name, fields);
     }
 
     /** The list in discovery's form. */
@@ -83,38 +80,7 @@
     private static void write(JsonGenerator out, Host host) throws IOException {
         out.writeStartObject();
         out.writeStringField("host", host.name());
-        out.writeStringField("dial", host.dial().toString());
-        if (host.site() != null) {
-            out.writeStringField("site", host.site());
-        }
-        if (host.kind() != null) {
-            out.writeStringField("class", host.kind());
-        }
-        out.writeNumberField("block", host.block());
-        out.writeStringField("health", switch (host.state()) {
-            case UP -> "in_service";
-            case DRAINING -> "terminating";
-            case GONE -> "terminated";
-        });
-        out.writeNumberField("share", host.share());
-        out.writeNumberField("born_ms", host.bornMs());
+        HostCodec.writeFields(out, host);
         out.writeEndObject();
     }
-
-    private static ServerState state(String health) throws ProtocolException {
-        return switch (String.valueOf(health)) {
-            case "in_service" -> ServerState.UP;
-            case "terminating" -> ServerState.DRAINING;
-            case "terminated" -> ServerState.GONE;
-            default -> throw new ProtocolException("unknown health " + health);
-        };
-    }
-
-    private static String text(Map<?, ?> fields, String key) {
-        return fields.get(key) instanceof String text ? text : null;
-    }
-
-    private static double number(Map<?, ?> fields, String key, double absent) {
-        return fields.get(key) instanceof Double number ? number : absent;
-    }
 }
--- a/src/main/java/ottergauge/protocol/ProtocolException.java
+++ b/src/main/java/ottergauge/protocol/ProtocolException.java
@@ -2,7 +2,7 @@
 package ottergauge.protocol;
 
 /** Something that came breaks the protocol; the message says how. */
-public final class ProtocolException extends Exception {
+public class ProtocolException extends Exception {
 
     private static final long serialVersionUID = 1L;
 
--- /dev/null
+++ b/src/main/java/ottergauge/resources/EntryCodec.java
@@ -0,0 +1,170 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.resources;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The JSON of entries: resources, what a change puts and deletes, changes. Reports all faults. */
+final class EntryCodec {
+
+    static final String VERSION = "version";
+    static final String PUT = "put";
+    static final String DELETE = "delete";
+
+    private static final String KIND = "kind";
+    private static final String NAME = "name";
+    private static final String VALUE = "value";
+    private static final String SERVICE = "service";
+
+    private EntryCodec() {
+    }
+
+    /** Reads the key of an entry; empty if its kind is unknown or its name has a wrong form. */
+    static Optional<ResourceKey> key(FieldReader entry) {
+        int before = entry.faults().size();
+        String kindName = entry.text(KIND);
+        Optional<ResourceKind> kind = ResourceKind.ofWireName(kindName);
+        if (kind.isEmpty() && entry.faults().size() == before) {
+            entry.fault(KIND, kindName, "service, server, route, tenant or settings");
+        }
+        String name = entry.text(NAME);
+        if (entry.faults().size() == before && !ResourceChecks.isName(name)) {
+            entry.fault(NAME, name, ResourceChecks.NAME_FORM);
+        }
+        return entry.faults().size() == before ? Optional.of(new ResourceKey(kind.orElseThrow(), name))
+            : Optional.empty();
+    }
+
+    /** Reads the value of an entry and checks it; empty if anything is wrong with it. */
+    static Optional<ResourceValue> value(ResourceKey key, FieldReader entry) {
+        int before = entry.faults().size();
+        FieldReader fields = entry.child(VALUE);
+        if (entry.faults().size() > before) {
+            return Optional.empty();
+        }
+        Optional<ResourceValue> value = ValueCodec.read(key, fields);
+        value.ifPresent(read -> ResourceChecks.check(entry.place(), key, read, entry.faults()));
+        return entry.faults().size() == before ? value : Optional.empty();
+    }
+
+    /** Reads the entries that a change puts; what is wrong with them is reported. */
+    static List<Change.Put> puts(FieldReader change) {
+        List<Change.Put> puts = new ArrayList<>();
+        List<?> entries = change.list(PUT);
+        for (int i = 0; i < entries.size() && i < ResourceChecks.MOST_ENTRIES; i++) {
+            change.element(PUT, i, entries.get(i)).ifPresent(entry -> key(entry).ifPresent(key ->
+                value(key, entry).ifPresent(value -> puts.add(new Change.Put(key, value)))));
+        }
+        return puts;
+    }
+
+    /** Reads the keys of the entries that a submission deletes. */
+    static List<ResourceKey> deletedKeys(FieldReader submission) {
+        List<ResourceKey> keys = new ArrayList<>();
+        List<?> entries = submission.list(DELETE);
+        for (int i = 0; i < entries.size() && i < ResourceChecks.MOST_ENTRIES; i++) {
+            submission.element(DELETE, i, entries.get(i)).flatMap(EntryCodec::key).ifPresent(keys::add);
+        }
+        return keys;
+    }
+
+    private static List<Change.Delete> deletes(FieldReader change) {
+        List<Change.Delete> deletes = new ArrayList<>();
+        List<?> entries = change.list(DELETE);
+        for (int i = 0; i < entries.size() && i < ResourceChecks.MOST_ENTRIES; i++) {
+            change.element(DELETE, i, entries.get(i)).ifPresent(entry -> {
+                String service = entry.text(SERVICE, "");
+                key(entry).ifPresent(key -> deletes.add(new Change.Delete(key, service)));
+            });
+        }
+        return deletes;
+    }
+
+    /** Reports a change or a submission that has too many entries to be read. */
+    static void checkEntries(FieldReader change) {
+        int entries = change.list(PUT).size() + change.list(DELETE).size();
+        if (entries > ResourceChecks.MOST_ENTRIES) {
+            change.fault(PUT, entries + " entries",
+                ResourceChecks.MOST_ENTRIES + " entries at most, with those of delete");
+        }
+    }
+
+    /** Reads what a change of this version does; what is wrong with it is reported. */
+    static Change change(long version, Map<?, ?> tree, FaultCollector faults) {
+        FieldReader fields = new FieldReader(tree, "", faults);
+        checkEntries(fields);
+        Change change = new Change(version, puts(fields), deletes(fields));
+        if (faults.isEmpty()) {
+            ResourceChecks.check(change, faults);
+        }
+        return change;
+    }
+
+    /** Reads an entry of a snapshot; empty if anything is wrong with it, which is reported. */
+    static Optional<Resource> resource(FieldReader entry) {
+        int before = entry.faults().size();
+        long version = entry.whole(VERSION, 1, FieldReader.MOST_WHOLE);
+        Optional<ResourceKey> key = key(entry);
+        Optional<ResourceValue> value = key.flatMap(each -> value(each, entry));
+        return entry.faults().size() > before ? Optional.empty()
+            : Optional.of(new Resource(key.orElseThrow(), version, value.orElseThrow()));
+    }
+
+    static void write(JsonGenerator out, Change change) throws IOException {
+        out.writeStartObject();
+        out.writeNumberField(VERSION, change.version());
+        writePuts(out, change.puts());
+        out.writeArrayFieldStart(DELETE);
+        for (Change.Delete delete : change.deletes()) {
+            out.writeStartObject();
+            writeKey(out, delete.key());
+            out.writeStringField(SERVICE, delete.service());
+            out.writeEndObject();
+        }
+        out.writeEndArray();
+        out.writeEndObject();
+    }
+
+    static void writePuts(JsonGenerator out, List<Change.Put> puts) throws IOException {
+        out.writeArrayFieldStart(PUT);
+        for (Change.Put put : puts) {
+            out.writeStartObject();
+            writeKey(out, put.key());
+            writeValue(out, put.value());
+            out.writeEndObject();
+        }
+        out.writeEndArray();
+    }
+
+    static void writeDeletedKeys(JsonGenerator out, List<ResourceKey> keys) throws IOException {
+        out.writeArrayFieldStart(DELETE);
+        for (ResourceKey key : keys) {
+            out.writeStartObject();
+            writeKey(out, key);
+            out.writeEndObject();
+        }
+        out.writeEndArray();
+    }
+
+    static void write(JsonGenerator out, Resource resource) throws IOException {
+        out.writeStartObject();
+        writeKey(out, resource.key());
+        out.writeNumberField(VERSION, resource.version());
+        writeValue(out, resource.value());
+        out.writeEndObject();
+    }
+
+    private static void writeKey(JsonGenerator out, ResourceKey key) throws IOException {
+        out.writeStringField(KIND, key.kind().wireName());
+        out.writeStringField(NAME, key.name());
+    }
+
+    private static void writeValue(JsonGenerator out, ResourceValue value) throws IOException {
+        out.writeFieldName(VALUE);
+        ValueCodec.write(out, value);
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/resources/Fault.java
@@ -0,0 +1,27 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.resources;
+
+/** What is wrong: the key, the value found there (shortened), and the form that is allowed. */
+public record Fault(String key, String value, String allowed) {
+
+    private static final int MOST_VALUE_CHARACTERS = 80;
+    private static final int MOST_KEY_CHARACTERS = 200;
+
+    /** Key and value are cut to a length that fits a log line, and control characters are replaced. */
+    public Fault {
+        key = oneLine(key, MOST_KEY_CHARACTERS);
+        value = oneLine(value, MOST_VALUE_CHARACTERS);
+    }
+
+    /** A text from outside, as it may stand in a log line. */
+    static String oneLine(String text, int most) {
+        String cut = text.length() <= most ? text : text.substring(0, most) + "...";
+        return cut.replaceAll("[\\p{Cntrl}\\p{Cs}\u2028\u2029]", "?");
+    }
+
+    /** One line for a person. */
+    @Override
+    public String toString() {
+        return key + " is " + allowed + ", not " + value;
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/resources/JsonMessage.java
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.resources;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import ottergauge.protocol.ProtocolException;
+import ottergauge.settings.JsonTree;
+
+/** Reads and writes messages that are one JSON object each, within bounds on length, depth and texts. */
+final class JsonMessage {
+
+    static final int MOST_DEPTH = 32;
+    static final int MOST_TEXT_CHARACTERS = 64 * 1024;
+    static final int MOST_NAME_CHARACTERS = 1_024;
+    static final int MOST_NUMBER_CHARACTERS = 64;
+
+    private static final int MOST_CAUSE_CHARACTERS = 200;
+    private static final JsonFactory JSON = JsonFactory.builder()
+        .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MOST_DEPTH)
+            .maxStringLength(MOST_TEXT_CHARACTERS).maxNameLength(MOST_NAME_CHARACTERS)
+            .maxNumberLength(MOST_NUMBER_CHARACTERS).build())
+        .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+        // The names come from outside: they are not kept for the life of the process.
+        .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
+        .build();
+
+    /** Takes one field of the message: the parser stands at its value and has to be left at its end. */
+    interface FieldHandler {
+        void read(String name, JsonParser in) throws IOException, ProtocolException;
+    }
+
+    /** Takes one object of a list, and its place in it. */
+    interface ElementHandler {
+        void read(int index, Map<String, Object> element) throws ProtocolException;
+    }
+
+    /** Writes the fields of the message. */
+    interface Writer {
+        void write(JsonGenerator out) throws IOException;
+    }
+
+    private JsonMessage() {
+    }
+
+    /** Reads a message field by field; {@code what} is its name in what is thrown. */
+    static void read(byte[] body, String what, int mostBytes, FieldHandler handler) throws ProtocolException {
+        if (body.length > mostBytes) {
+            throw new ProtocolException(what + " has " + body.length + " bytes, " + mostBytes
+                + " are allowed");
+        }
+        try (JsonParser in = JSON.createParser(body)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new ProtocolException(what + " is no JSON object");
+            }
+            while (in.nextToken() != JsonToken.END_OBJECT) {
+                String name = in.currentName();
+                in.nextToken();
+                handler.read(name, in);
+            }
+            if (in.nextToken() != null) {
+                throw new ProtocolException(what + " has something behind its object");
+            }
+        } catch (IOException e) {
+            throw new ProtocolException(what + " is no JSON: " + cause(e));
+        }
+    }
+
+    private static String cause(IOException e) {
+        String message = e instanceof JsonProcessingException json ? json.getOriginalMessage()
+            : e.getMessage();
+        return Fault.oneLine(String.valueOf(message), MOST_CAUSE_CHARACTERS);
+    }
+
+    /** Reads a message into a tree. */
+    static Map<String, Object> readTree(byte[] body, String what, int mostBytes) throws ProtocolException {
+        Map<String, Object> tree = new LinkedHashMap<>();
+        read(body, what, mostBytes, (name, in) -> tree.put(name, JsonTree.value(in)));
+        return tree;
+    }
+
+    /** Reads a list of up to so many objects, one by one. */
+    static void readList(String name, JsonParser in, int most, ElementHandler handler)
+        throws IOException, ProtocolException {
+        if (in.currentToken() != JsonToken.START_ARRAY) {
+            throw new ProtocolException(name + " is a list, not " + in.currentToken());
+        }
+        for (int i = 0; in.nextToken() != JsonToken.END_ARRAY; i++) {
+            if (i == most) {
+                throw new ProtocolException(name + " has more than " + most + " entries");
+            }
+            if (in.currentToken() != JsonToken.START_OBJECT) {
+                throw new ProtocolException(name + "[" + i + "] is an object, not " + in.currentToken());
+            }
+            handler.read(i, JsonTree.object(in));
+        }
+    }
+
+    static byte[] write(Writer writer) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator out = JSON.createGenerator(bytes)) {
+            out.writeStartObject();
+            writer.write(out);
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/resources/NumberText.java
@@ -0,0 +1,17 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.resources;
+
+/** Values as a person wrote them: whole numbers without a fraction. */
+final class NumberText {
+
+    private static final double MOST_PLAIN = 1e15;
+
+    private NumberText() {
+    }
+
+    static String of(Object value) {
+        boolean whole = value instanceof Double number && number == Math.rint(number)
+            && Math.abs(number) < MOST_PLAIN;
+        return whole ? Long.toString(((Double) value).longValue()) : String.valueOf(value);
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/resources/ResourceCodec.java
@@ -0,0 +1,289 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.resources;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import ottergauge.protocol.ProtocolException;
+import ottergauge.settings.JsonTree;
+
+/**
+ * The JSON of the messages between nodes, control processes and operators (docs/control.md). What can't be
+ * read ends in a {@link ProtocolException} of one line that names what is wrong; unknown fields are passed
+ * over. A change of a page or an entry of a snapshot that can't be made out doesn't spoil the others: it is
+ * given back as unreadable, so that a reader can refuse it by name and follow what comes after it.
+ */
+public final class ResourceCodec {
+
+    /** The longest page or error that is read. A page has one change at least, which may be a long one. */
+    public static final int MOST_PAGE_BYTES = 1 << 20;
+
+    /** The longest submission that is read. */
+    public static final int MOST_SUBMISSION_BYTES = 256 * 1024;
+
+    /** Changes or resources of one page. */
+    public static final int MOST_PAGE_ENTRIES = 16_384;
+
+    private static final String LOG = "log";
+    private static final String VERSION = "version";
+    private static final String CHANGES = "changes";
+    private static final String RESOURCES = "resources";
+    private static final String NEXT = "next";
+    private static final String ID = "id";
+    private static final String ERROR = "error";
+    private static final String TOO_OLD = "too_old";
+    private static final String INVALID = "invalid";
+    private static final String OLDEST = "oldest";
+    private static final String FAULTS = "faults";
+    private static final String KEY = "key";
+    private static final String VALUE = "value";
+    private static final String ALLOWED = "allowed";
+
+    private ResourceCodec() {
+    }
+
+    // ---- Pages of changes ---------------------------------------------------------------------------
+
+    public static ChangePage readChanges(byte[] body) throws ProtocolException {
+        Map<String, Object> head = new LinkedHashMap<>();
+        List<Change> changes = new ArrayList<>();
+        List<UnreadableChange> unreadable = new ArrayList<>();
+        JsonMessage.read(body, "a page of changes", MOST_PAGE_BYTES, (name, in) -> {
+            if (name.equals(CHANGES)) {
+                head.put(CHANGES, List.of());
+                JsonMessage.readList(CHANGES, in, MOST_PAGE_ENTRIES, (index, tree) ->
+                    readChange(index, tree, changes, unreadable));
+            } else {
+                readHead(name, in, head);
+            }
+        });
+        LogPosition upTo = position(head, CHANGES);
+        return new ChangePage(upTo, List.copyOf(changes), List.copyOf(unreadable));
+    }
+
+    private static void readChange(int index, Map<String, Object> tree, List<Change> changes,
+                                   List<UnreadableChange> unreadable) throws ProtocolException {
+        FaultCollector faults = new FaultCollector();
+        long version = new FieldReader(tree, CHANGES + "[" + index + "]", faults)
+            .whole(VERSION, 1, FieldReader.MOST_WHOLE);
+        throwFirst(faults);
+        Change change = EntryCodec.change(version, tree, faults);
+        if (faults.isEmpty()) {
+            changes.add(change);
+        } else {
+            unreadable.add(new UnreadableChange(version, faults.first().orElseThrow()));
+        }
+    }
+
+    public static byte[] write(ChangePage page) {
+        return JsonMessage.write(out -> {
+            writePosition(out, page.upTo());
+            out.writeArrayFieldStart(CHANGES);
+            for (Change change : page.changes()) {
+                EntryCodec.write(out, change);
+            }
+            out.writeEndArray();
+        });
+    }
+
+    // ---- Pages of a snapshot ------------------------------------------------------------------------
+
+    public static SnapshotPage readSnapshot(byte[] body) throws ProtocolException {
+        Map<String, Object> head = new LinkedHashMap<>();
+        List<Resource> resources = new ArrayList<>();
+        List<UnreadableResource> unreadable = new ArrayList<>();
+        JsonMessage.read(body, "a page of a snapshot", MOST_PAGE_BYTES, (name, in) -> {
+            if (name.equals(RESOURCES)) {
+                head.put(RESOURCES, List.of());
+                JsonMessage.readList(RESOURCES, in, MOST_PAGE_ENTRIES, (index, tree) ->
+                    readResource(index, tree, resources, unreadable));
+            } else {
+                readHead(name, in, head);
+            }
+        });
+        LogPosition at = position(head, RESOURCES);
+        return new SnapshotPage(at, List.copyOf(resources), next(head), List.copyOf(unreadable));
+    }
+
+    private static void readResource(int index, Map<String, Object> tree, List<Resource> resources,
+                                     List<UnreadableResource> unreadable) {
+        FaultCollector faults = new FaultCollector();
+        FieldReader fields = new FieldReader(tree, RESOURCES + "[" + index + "]", faults);
+        Optional<Resource> resource = EntryCodec.resource(fields);
+        resource.ifPresent(resources::add);
+        faults.first().ifPresent(fault -> unreadable.add(new UnreadableResource(
+            EntryCodec.key(new FieldReader(tree, "", new FaultCollector())), fault)));
+    }
+
+    private static Optional<ResourceKey> next(Map<String, Object> head) throws ProtocolException {
+        if (head.get(NEXT) == null) {
+            return Optional.empty();
+        }
+        FaultCollector faults = new FaultCollector();
+        String path = new FieldReader(head, "", faults).text(NEXT);
+        Optional<ResourceKey> key = ResourceKey.ofPath(path)
+            .filter(each -> ResourceChecks.isName(each.name()));
+        if (key.isEmpty()) {
+            faults.add(NEXT, path, "a kind, / and a name");
+        }
+        throwFirst(faults);
+        return key;
+    }
+
+    public static byte[] write(SnapshotPage page) {
+        return JsonMessage.write(out -> {
+            writePosition(out, page.at());
+            out.writeArrayFieldStart(RESOURCES);
+            for (Resource resource : page.resources()) {
+                EntryCodec.write(out, resource);
+            }
+            out.writeEndArray();
+            if (page.next().isPresent()) {
+                out.writeStringField(NEXT, page.next().get().path());
+            }
+        });
+    }
+
+    // ---- Submissions --------------------------------------------------------------------------------
+
+    /**
+     * Reads and checks what somebody wants changed.
+     *
+     * @throws InvalidSubmissionException if it is JSON, with all that is wrong with it
+     * @throws ProtocolException if it is none, or too long
+     */
+    public static Submission readSubmission(byte[] body) throws ProtocolException {
+        Map<String, Object> tree = JsonMessage.readTree(body, "a submission", MOST_SUBMISSION_BYTES);
+        FaultCollector faults = new FaultCollector();
+        FieldReader fields = new FieldReader(tree, "", faults);
+        EntryCodec.checkEntries(fields);
+        Submission submission = new Submission(fields.text(ID), EntryCodec.puts(fields),
+            EntryCodec.deletedKeys(fields));
+        if (faults.isEmpty()) {
+            ResourceChecks.check(submission, faults);
+        }
+        if (!faults.isEmpty()) {
+            throw new InvalidSubmissionException(faults.all());
+        }
+        return submission;
+    }
+
+    public static byte[] write(Submission submission) {
+        return JsonMessage.write(out -> {
+            out.writeStringField(ID, submission.id());
+            EntryCodec.writePuts(out, submission.puts());
+            EntryCodec.writeDeletedKeys(out, submission.deletes());
+        });
+    }
+
+    // ---- Answers that are no pages ------------------------------------------------------------------
+
+    /** Reads the position that an accepted submission was given. */
+    public static LogPosition readPosition(byte[] body) throws ProtocolException {
+        return position(JsonMessage.readTree(body, "an answer", MOST_PAGE_BYTES), null);
+    }
+
+    public static byte[] write(LogPosition position) {
+        return JsonMessage.write(out -> writePosition(out, position));
+    }
+
+    public static TooOld readTooOld(byte[] body) throws ProtocolException {
+        Map<String, Object> tree = JsonMessage.readTree(body, "an answer", MOST_PAGE_BYTES);
+        LogPosition newest = position(tree, null);
+        FaultCollector faults = new FaultCollector();
+        FieldReader fields = new FieldReader(tree, "", faults);
+        checkError(fields, TOO_OLD);
+        long oldest = fields.whole(OLDEST, 0, FieldReader.MOST_WHOLE);
+        throwFirst(faults);
+        return new TooOld(newest.log(), oldest, newest.version());
+    }
+
+    public static byte[] write(TooOld tooOld) {
+        return JsonMessage.write(out -> {
+            out.writeStringField(ERROR, TOO_OLD);
+            out.writeStringField(LOG, tooOld.log());
+            out.writeNumberField(OLDEST, tooOld.oldest());
+            out.writeNumberField(VERSION, tooOld.newest());
+        });
+    }
+
+    /** Reads why a submission was not accepted. */
+    public static List<Fault> readFaults(byte[] body) throws ProtocolException {
+        Map<String, Object> tree = JsonMessage.readTree(body, "an answer", MOST_PAGE_BYTES);
+        FaultCollector faults = new FaultCollector();
+        FieldReader fields = new FieldReader(tree, "", faults);
+        checkError(fields, INVALID);
+        List<Fault> told = new ArrayList<>();
+        List<?> entries = fields.list(FAULTS);
+        for (int i = 0; i < entries.size() && i < FaultCollector.MOST_FAULTS; i++) {
+            fields.element(FAULTS, i, entries.get(i)).ifPresent(entry ->
+                told.add(new Fault(entry.text(KEY), entry.text(VALUE), entry.text(ALLOWED))));
+        }
+        throwFirst(faults);
+        return told;
+    }
+
+    public static byte[] writeFaults(List<Fault> faults) {
+        return JsonMessage.write(out -> {
+            out.writeStringField(ERROR, INVALID);
+            out.writeArrayFieldStart(FAULTS);
+            for (Fault fault : faults) {
+                out.writeStartObject();
+                out.writeStringField(KEY, fault.key());
+                out.writeStringField(VALUE, fault.value());
+                out.writeStringField(ALLOWED, fault.allowed());
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+        });
+    }
+
+    // ---- Common fields ------------------------------------------------------------------------------
+
+    private static void readHead(String name, JsonParser in, Map<String, Object> head) throws IOException {
+        if (name.equals(LOG) || name.equals(VERSION) || name.equals(NEXT)) {
+            head.put(name, JsonTree.value(in));
+        } else {
+            in.skipChildren();
+        }
+    }
+
+    private static LogPosition position(Map<String, Object> head, String needed) throws ProtocolException {
+        FaultCollector faults = new FaultCollector();
+        FieldReader fields = new FieldReader(head, "", faults);
+        String log = fields.text(LOG);
+        if (faults.isEmpty()) {
+            ResourceChecks.checkName(LOG, log, faults);
+        }
+        long version = fields.whole(VERSION, 0, FieldReader.MOST_WHOLE);
+        if (needed != null && !head.containsKey(needed)) {
+            fields.fault(needed, null, "a list");
+        }
+        throwFirst(faults);
+        return new LogPosition(log, version);
+    }
+
+    private static void writePosition(JsonGenerator out, LogPosition position) throws IOException {
+        out.writeStringField(LOG, position.log());
+        out.writeNumberField(VERSION, position.version());
+    }
+
+    private static void checkError(FieldReader fields, String expected) {
+        String error = fields.text(ERROR);
+        if (!error.equals(expected)) {
+            fields.fault(ERROR, error, expected);
+        }
+    }
+
+    private static void throwFirst(FaultCollector faults) throws ProtocolException {
+        Optional<Fault> first = faults.first();
+        if (first.isPresent()) {
+            throw new ProtocolException(first.get().toString());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/resources/SettingsChecks.java
@@ -0,0 +1,150 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.resources;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import ottergauge.settings.SettingsReader;
+
+/**
+ * Says what is wrong with a settings object. A node reads its own configuration leniently and by the eyes of
+ * the person who starts it; settings that reach all nodes at once must not be misread by any.
+ */
+final class SettingsChecks {
+
+    static final int MOST_CLASSES = 1_024;
+    static final int MOST_VALUES = 20_000;
+    static final int MOST_TEXT_CHARACTERS = 1_024;
+    /** The longest span in settings: a week. */
+    static final double MOST_SPAN_MS = 7 * 24 * 3_600_000.0;
+
+    private static final String SPAN_SUFFIX = "Ms";
+    private static final String CLASSES = "classes";
+
+    /** The types of values, as {@link ottergauge.settings.JsonTree} has them. */
+    private enum ValueType {
+        NUMBER("a number", Double.class), FLAG("true or false", Boolean.class), TEXT("a text", String.class),
+        LIST("a list", List.class), OBJECT("an object", Map.class);
+
+        private final String description;
+        private final Class<?> type;
+
+        ValueType(String description, Class<?> type) {
+            this.description = description;
+            this.type = type;
+        }
+    }
+
+    /** A key that a node reads, and the object that it lies in; empty for the settings themselves. */
+    private record TypedKey(String section, String key, ValueType type) { }
+
+    private static final List<TypedKey> KEYS = List.of(
+        new TypedKey("", "me", ValueType.NUMBER), new TypedKey("", "balancers", ValueType.NUMBER),
+        new TypedKey("", "zone", ValueType.TEXT), new TypedKey("", "zones", ValueType.LIST),
+        new TypedKey("", "kinds", ValueType.LIST), new TypedKey("", "registryMode", ValueType.TEXT),
+        new TypedKey("", CLASSES, ValueType.LIST), new TypedKey("", "reporting", ValueType.OBJECT),
+        new TypedKey("", "clients", ValueType.OBJECT), new TypedKey("", "specifics", ValueType.OBJECT),
+        new TypedKey("", "ceilings", ValueType.OBJECT), new TypedKey("", "rules", ValueType.OBJECT),
+        new TypedKey("", "penalties", ValueType.OBJECT),
+        new TypedKey("reporting", "how", ValueType.TEXT), new TypedKey("reporting", "fields", ValueType.LIST),
+        new TypedKey("clients", "marksRetry", ValueType.FLAG),
+        new TypedKey("specifics", "warmKeys", ValueType.FLAG),
+        new TypedKey("ceilings", "probes", ValueType.FLAG),
+        new TypedKey("ceilings", "cancel", ValueType.FLAG),
+        new TypedKey("ceilings", "retryAfter", ValueType.FLAG),
+        new TypedKey("ceilings", "maxAttempts", ValueType.NUMBER),
+        new TypedKey("rules", "coldFrom", ValueType.NUMBER),
+        new TypedKey("rules", "tipMultiple", ValueType.NUMBER),
+        new TypedKey("penalties", "probe", ValueType.NUMBER),
+        new TypedKey("penalties", "connection", ValueType.NUMBER));
+    private static final List<TypedKey> CLASS_KEYS = List.of(
+        new TypedKey("", "semantics", ValueType.TEXT), new TypedKey("", "group", ValueType.TEXT),
+        new TypedKey("", "value", ValueType.NUMBER), new TypedKey("", "lateWorth", ValueType.NUMBER),
+        new TypedKey("", "streamed", ValueType.FLAG));
+
+    private final FaultCollector faults;
+    private int values;
+
+    private SettingsChecks(FaultCollector faults) {
+        this.faults = faults;
+    }
+
+    /** Reports all that is wrong with a settings object, by keys that begin with a path. */
+    static void check(String path, Map<String, Object> tree, FaultCollector faults) {
+        SettingsChecks checks = new SettingsChecks(faults);
+        checks.checkValues(path, tree);
+        checks.checkTypes(path, tree, KEYS);
+        checks.checkClasses(path, tree);
+        SettingsReader.firstFault(tree).ifPresent(fault ->
+            faults.add(path + "." + fault.key(), fault.value(), fault.allowed()));
+    }
+
+    private void checkValues(String path, Object value) {
+        if (++values == MOST_VALUES) {
+            faults.add(path, "more", MOST_VALUES + " values at most in all settings");
+        }
+        if (values >= MOST_VALUES) {
+            return;
+        }
+        if (value instanceof Map<?, ?> map) {
+            map.forEach((key, child) -> checkField(path, String.valueOf(key), child));
+        } else if (value instanceof List<?> list) {
+            for (int i = 0; i < list.size(); i++) {
+                checkValues(path + "[" + i + "]", list.get(i));
+            }
+        } else if (value instanceof String text) {
+            ResourceChecks.checkText(path, text, MOST_TEXT_CHARACTERS, faults);
+        } else if (value instanceof Double number && !Double.isFinite(number)) {
+            faults.add(path, number, "a number that is finite");
+        }
+    }
+
+    private void checkField(String path, String key, Object value) {
+        ResourceChecks.checkText(path, key, MOST_TEXT_CHARACTERS, faults);
+        String place = path + "." + key;
+        if (key.endsWith(SPAN_SUFFIX) && value != null
+            && !(value instanceof Double span && span >= 0 && span <= MOST_SPAN_MS)) {
+            faults.add(place, NumberText.of(value), "a number from 0 to " + NumberText.of(MOST_SPAN_MS));
+        }
+        checkValues(place, value);
+    }
+
+    private void checkTypes(String path, Map<?, ?> tree, List<TypedKey> keys) {
+        for (TypedKey typed : keys) {
+            boolean nested = !typed.section().isEmpty();
+            Object fields = nested ? tree.get(typed.section()) : tree;
+            Object value = fields instanceof Map<?, ?> map ? map.get(typed.key()) : null;
+            if (value != null && !typed.type().type.isInstance(value)) {
+                String place = nested ? path + "." + typed.section() : path;
+                faults.add(place + "." + typed.key(), NumberText.of(value), typed.type().description);
+            }
+        }
+    }
+
+    private void checkClasses(String path, Map<String, Object> tree) {
+        List<?> classes = tree.get(CLASSES) instanceof List<?> list ? list : List.of();
+        String place = path + "." + CLASSES;
+        if (classes.isEmpty() || classes.size() > MOST_CLASSES) {
+            faults.add(place, classes.size() + " classes", "1 to " + MOST_CLASSES + " classes");
+            return;
+        }
+        Set<Object> names = new HashSet<>();
+        for (int i = 0; i < classes.size(); i++) {
+            if (classes.get(i) instanceof Map<?, ?> fields) {
+                checkTypes(place + "[" + i + "]", fields, CLASS_KEYS);
+                checkClassName(place + "[" + i + "].name", fields.get("name"), names);
+            } else {
+                faults.add(place + "[" + i + "]", classes.get(i), ValueType.OBJECT.description);
+            }
+        }
+    }
+
+    private void checkClassName(String path, Object name, Set<Object> names) {
+        if (!(name instanceof String text) || text.isEmpty()) {
+            faults.add(path, name == null ? "nothing" : name, "a text of one character at least");
+        } else if (!names.add(text)) {
+            faults.add(path, text, "a name that no other class has");
+        }
+    }
+}
--- a/src/main/java/ottergauge/settings/JsonTree.java
+++ b/src/main/java/ottergauge/settings/JsonTree.java
@@ -42,7 +42,8 @@
         return bytes.toByteArray();
     }
 
-    private static void write(JsonGenerator out, Object value) throws IOException {
+    /** Writes one value of such a tree. */
+    public static void write(JsonGenerator out, Object value) throws IOException {
         if (value instanceof Map<?, ?> map) {
             out.writeStartObject();
             for (Map.Entry<?, ?> entry : map.entrySet()) {
@@ -80,7 +81,8 @@
         return map;
     }
 
-    private static Object value(JsonParser in) throws IOException {
+    /** Reads the value at the current token. */
+    public static Object value(JsonParser in) throws IOException {
         return switch (in.currentToken()) {
             case START_OBJECT -> object(in);
             case START_ARRAY -> {
--- a/src/main/java/ottergauge/settings/SettingsReader.java
+++ b/src/main/java/ottergauge/settings/SettingsReader.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import ottergauge.DecisionApi.Discovery;
 import ottergauge.DecisionApi.Group;
 import ottergauge.DecisionApi.Limits;
@@ -50,30 +51,36 @@
             root.children("classes").stream().map(SettingsReader::requestClass).toList());
     }
 
-    /** What is wrong with settings that a person wrote, by key; null if nothing is. */
+    /** What is wrong with settings that a person wrote, in one line; null if nothing is. */
     public static String fault(Map<String, Object> config) {
+        return firstFault(config).map(SettingsFault::toString).orElse(null);
+    }
+
+    /** The first thing that is wrong with settings that a person wrote. */
+    public static Optional<SettingsFault> firstFault(Map<String, Object> config) {
         SettingsReader root = new SettingsReader(config);
-        String fault = first(root.fault("roundMs", LEAST_ROUND_MS, MOST_ROUND_MS),
-            first(root.fault("balancers", 1, MOST_NODES), root.fault("me", 0, MOST_NODES)));
-        for (SettingsReader c : root.children("classes")) {
-            fault = first(fault, first(c.fault("lateWorth", 0, 1), c.fault("aimMs", 0, Double.MAX_VALUE)));
+        List<SettingsFault> faults = new ArrayList<>();
+        root.checkRange("roundMs", LEAST_ROUND_MS, MOST_ROUND_MS, faults);
+        root.checkRange("balancers", 1, MOST_NODES, faults);
+        root.checkRange("me", 0, MOST_NODES, faults);
+        for (SettingsReader requestClass : root.children("classes")) {
+            requestClass.checkRange("lateWorth", 0, 1, faults);
+            requestClass.checkRange("aimMs", 0, Double.MAX_VALUE, faults);
         }
+        root.child("penalties").checkRange("probe", 0, Double.MAX_VALUE, faults);
         Object warm = root.child("specifics").config.get("warmKeys");
-        return first(first(fault, root.child("penalties").fault("probe", 0, Double.MAX_VALUE)),
-            warm == null || warm instanceof Boolean ? null : "warmKeys is true or false, not " + warm);
-    }
-
-    private static String first(String one, String other) {
-        return one != null ? one : other;
+        if (warm != null && !(warm instanceof Boolean)) {
+            faults.add(new SettingsFault("warmKeys", String.valueOf(warm), "true or false"));
+        }
+        return faults.stream().findFirst();
     }
 
-    private String fault(String key, double least, double most) {
+    private void checkRange(String key, double least, double most, List<SettingsFault> faults) {
         Object value = config.get(key);
-        if (value == null || value instanceof Double number && number >= least && number <= most) {
-            return null;
+        if (value != null && !(value instanceof Double number && number >= least && number <= most)) {
+            String range = most < Double.MAX_VALUE ? "from " + least + " to " + most : "not below " + least;
+            faults.add(new SettingsFault(key, String.valueOf(value), "a number " + range));
         }
-        String range = most < Double.MAX_VALUE ? "from " + least + " to " + most : "not below " + least;
-        return key + " is a number " + range + ", not " + value;
     }
 
     private static RequestClass requestClass(SettingsReader c) {
--- /dev/null
+++ b/src/test/java/ottergauge/resources/ResourceCodecPropertyTest.java
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.resources;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import ottergauge.protocol.ProtocolException;
+import ottergauge.settings.SettingsReader;
+
+/** What is written is read again as the same; bytes that are spoilt end in one kind of exception. */
+class ResourceCodecPropertyTest {
+
+    private static final int MOST_MESSAGE_CHARACTERS = 1_000;
+
+    /** Reads bytes of one kind of message. */
+    private interface Reader {
+        Object read(byte[] body) throws ProtocolException;
+    }
+
+    @Provide
+    Arbitrary<ChangePage> changePages() {
+        return ResourceArbitraries.changePages();
+    }
+
+    @Provide
+    Arbitrary<SnapshotPage> snapshotPages() {
+        return ResourceArbitraries.snapshotPages();
+    }
+
+    @Provide
+    Arbitrary<Submission> submissions() {
+        return ResourceArbitraries.submissions();
+    }
+
+    @Provide
+    Arbitrary<LogPosition> positions() {
+        return ResourceArbitraries.positions();
+    }
+
+    @Provide
+    Arbitrary<Change.Put> puts() {
+        return ResourceArbitraries.puts();
+    }
+
+    @Property(tries = 500, seed = "51")
+    void pagesOfChangesAreReadAsTheyWereWritten(@ForAll("changePages") ChangePage page)
+        throws ProtocolException {
+        assertEquals(page, ResourceCodec.readChanges(ResourceCodec.write(page)));
+    }
+
+    @Property(tries = 500, seed = "52")
+    void pagesOfSnapshotsAreReadAsTheyWereWritten(@ForAll("snapshotPages") SnapshotPage page)
+        throws ProtocolException {
+        assertEquals(page, ResourceCodec.readSnapshot(ResourceCodec.write(page)));
+    }
+
+    @Property(tries = 500, seed = "53")
+    void submissionsAreReadAsTheyWereWritten(@ForAll("submissions") Submission submission)
+        throws ProtocolException {
+        assertEquals(submission, ResourceCodec.readSubmission(ResourceCodec.write(submission)));
+    }
+
+    @Property(tries = 200, seed = "54")
+    void positionsAndAnswersThatAreTooOldAreReadAsTheyWereWritten(@ForAll("positions") LogPosition position)
+        throws ProtocolException {
+        assertEquals(position, ResourceCodec.readPosition(ResourceCodec.write(position)));
+        TooOld tooOld = new TooOld(position.log(), position.version() / 2, position.version());
+        assertEquals(tooOld, ResourceCodec.readTooOld(ResourceCodec.write(tooOld)));
+    }
+
+    @Property(tries = 300, seed = "55")
+    void aMessageThatIsCutIsRefused(@ForAll("changePages") ChangePage page,
+                                    @ForAll("snapshotPages") SnapshotPage snapshot,
+                                    @ForAll("submissions") Submission submission, @ForAll int seed) {
+        cutIsRefused(ResourceCodec.write(page), ResourceCodec::readChanges, seed);
+        cutIsRefused(ResourceCodec.write(snapshot), ResourceCodec::readSnapshot, seed);
+        cutIsRefused(ResourceCodec.write(submission), ResourceCodec::readSubmission, seed);
+    }
+
+    private static void cutIsRefused(byte[] whole, Reader reader, int seed) {
+        int length = new SplittableRandom(seed).nextInt(whole.length);
+        assertIsOneLine(assertThrows(ProtocolException.class,
+            () -> reader.read(Arrays.copyOf(whole, length))));
+    }
+
+    @Property(tries = 500, seed = "56")
+    void bytesThatAreFlippedEndInOneKindOfException(@ForAll("changePages") ChangePage page,
+                                                    @ForAll("snapshotPages") SnapshotPage snapshot,
+                                                    @ForAll("submissions") Submission submission,
+                                                    @ForAll int seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        isReadOrRefused(flipped(ResourceCodec.write(page), random), ResourceCodec::readChanges);
+        isReadOrRefused(flipped(ResourceCodec.write(snapshot), random), ResourceCodec::readSnapshot);
+        isReadOrRefused(flipped(ResourceCodec.write(submission), random), ResourceCodec::readSubmission);
+    }
+
+    private static byte[] flipped(byte[] whole, SplittableRandom random) {
+        byte[] bytes = whole.clone();
+        int flips = random.nextInt(1, 4);
+        for (int i = 0; i < flips; i++) {
+            bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
+        }
+        return bytes;
+    }
+
+    @Provide
+    Arbitrary<byte[]> garbage() {
+        Arbitrary<byte[]> bytes = Arbitraries.bytes().array(byte[].class).ofMaxSize(400);
+        Arbitrary<String> pieces = Arbitraries.of("{", "}", "[", "]", ",", ":", "\"log\"", "\"version\"", "1",
+            "-7", "1e999", "null", "true", "\"a\"", "\"changes\"", "\"put\"", "\"delete\"", "\"kind\"",
+            "\"server\"", "\"name\"", "\"value\"", "\"resources\"", "\"next\"", "\"id\"", "\"\\ud800\"",
+            "{\"kind\":\"tenant\",\"name\":\"t\",\"value\":{}}", "{\"version\":3}", " ", "\"error\"");
+        return Arbitraries.oneOf(bytes, pieces.list().ofMaxSize(40).map(list ->
+            String.join("", list).getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Property(tries = 5000, seed = "57")
+    void garbageEndsInOneKindOfException(@ForAll("garbage") byte[] body) {
+        isReadOrRefused(body, ResourceCodec::readChanges);
+        isReadOrRefused(body, ResourceCodec::readSnapshot);
+        isReadOrRefused(body, ResourceCodec::readSubmission);
+        isReadOrRefused(body, ResourceCodec::readTooOld);
+        isReadOrRefused(body, ResourceCodec::readPosition);
+        isReadOrRefused(body, ResourceCodec::readFaults);
+    }
+
+    // Any other exception fails the property. What is read can be written, and is then read as the same.
+    private static void isReadOrRefused(byte[] body, Reader reader) {
+        Object read;
+        try {
+            read = reader.read(body);
+        } catch (ProtocolException e) {
+            assertIsOneLine(e);
+            return;
+        }
+        if (read instanceof ChangePage page) {
+            ResourceCodec.write(page);
+        } else if (read instanceof SnapshotPage page) {
+            ResourceCodec.write(page);
+        } else if (read instanceof Submission submission) {
+            ResourceCodec.write(submission);
+        }
+    }
+
+    private static void assertIsOneLine(ProtocolException refusal) {
+        assertFalse(refusal.getMessage().isBlank());
+        assertTrue(refusal.getMessage().chars().noneMatch(Character::isISOControl), refusal.getMessage());
+        assertTrue(refusal.getMessage().length() < MOST_MESSAGE_CHARACTERS, refusal.getMessage());
+    }
+
+    @Property(tries = 500, seed = "58")
+    void settingsThatPassTheChecksCanBeTakenOver(@ForAll("puts") Change.Put put) {
+        assertTrue(ResourceChecks.fault(put.key(), put.value()).isEmpty());
+        if (put.value() instanceof ResourceValue.Settings settings) {
+            assertFalse(SettingsReader.settings(settings.tree()).classes().isEmpty());
+        }
+    }
+}
