--- a/src/main/java/ottergauge/protocol/HostList.java
+++ b/src/main/java/ottergauge/protocol/HostList.java
@@ -35,6 +35,7 @@
             out.writeArrayFieldStart("hosts");
             for (Host host : hosts) {
                 out.writeStartObject();
+                out.writeStringField("host", host.name());
                 HostCodec.writeFields(out, host);
                 out.writeEndObject();
             }
--- a/src/main/java/ottergauge/protocol/HostListReader.java
+++ b/src/main/java/ottergauge/protocol/HostListReader.java
@@ -7,7 +7,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import ottergauge.protocol.HostList.Host;
+import ottergauge.settings.JsonTree;
 
 /** Reads a list of servers entry by entry: no more of it is in memory than its bytes and its servers. */
 final class HostListReader {
@@ -63,11 +65,22 @@
     private static List<Host> entries(JsonParser in) throws IOException, ProtocolException {
         List<Host> entries = new ArrayList<>();
         while (in.nextToken() != JsonToken.END_ARRAY) {
-            entries.add(HostCodec.read(in));
+            entries.add(entry(in));
         }
         return entries;
     }
 
+    private static Host entry(JsonParser in) throws IOException, ProtocolException {
+        if (in.currentToken() != JsonToken.START_OBJECT) {
+            throw new ProtocolException("an entry is an object");
+        }
+        Map<String, Object> fields = JsonTree.object(in);
+        if (!(fields.get("host") instanceof String name) || name.isEmpty()) {
+            throw new ProtocolException("an entry needs a host");
+        }
+        return HostCodec.read(name, fields);
+    }
+
     private HostList list() throws ProtocolException {
         if (seq == null || hosts == null) {
             throw new ProtocolException("a list needs seq and hosts");
