A change of the list costs by the servers it names, and no request or window visits all

With 8,000 servers each change of the list sorted all of them and rebuilt the ring, each failing attempt and each silent server counted the barred ones of all, and each end of a window visited all.

The ring is a treap of its own package, held to the JDK: insertion, removal and lookup visit a logarithm of the servers, priorities are hashes of the ids and the sums of arcs are those of the tree, so that where an arc lies follows from the servers alone, to the last bit. A whole list is taken as a difference. Barred servers are kept by when their bars end. Windows of a server end when it is next looked at. An arc stays as long as the size that was told first, as before: under weights that follow the load all arcs would move with each list.

The choices are what they were. Where sums of sizes are not exact, the last bit of a boundary between two arcs may differ from the sum of the sorted list.

Tests seen to fail: ListCostTest with the ring rebuilt, with the barred servers counted over all and with windows ended at all servers; RingTest with a sum left out, with a running sum and with no priorities; SubsetTest with gone servers left in the ring; BarredServersTest (passes with the module before too) with bars that are not taken off, with bars that do not end, with the rule left out, and with servers counted that have left.

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -6,15 +6,16 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import ottergauge.DecisionApi.*;
 import ottergauge.limits.Freshness;
 import ottergauge.limits.RetryBudget;
 import ottergauge.limits.Room;
 import ottergauge.limits.ServerPace;
+import ottergauge.ring.Ring;
 
 /**
  * Every decision of a node and nothing else. Its interface (settings, events, actions) is DecisionApi.java.
@@ -126,22 +127,42 @@
     private static final double UNREACHED_BLEND = 0.02;
     private static final long NEVER = Long.MIN_VALUE / 4;
 
+    // A server in one row of the rotation: its answers, of this window and as a mean, and its turns.
+    private static final class RowFigures {
+        double sum;
+        int count;
+        double mean;
+        int answers;
+        int weight;
+        double current;
+
+        void sample(long elapsed) {
+            sum += elapsed;
+            count++;
+        }
+
+        void endWindow() {
+            // Without samples a mean outlives a window for each doubling of the answers in it.
+            answers = count > 0 ? count : answers / 2;
+            mean = count > 0 ? sum / count : answers > 0 ? mean : 0;
+            sum = 0;
+            count = 0;
+        }
+
+        double meanOr(double others) {
+            return mean > 0 ? mean : others;
+        }
+    }
+
     // A server, as this node knows it.
     private static final class Server {
         final long id;
-        // Place and arc on the ring.
-        final double order;
-        final double size;
         ListedServer entry;
         ServerState state;
         final ArrayList<Attempt> out = new ArrayList<>();
-        // The rotation: one slot for each row.
-        double[] sum;
-        int[] count;
-        double[] mean;
-        int[] answers;
-        int[] weight;
-        double[] current;
+        // Its rows in the rotation, once it was in the subset, and how many windows have ended for them.
+        RowFigures[] rows;
+        long windows;
         boolean candidate;
         double load;
         int sentSince;
@@ -166,25 +187,27 @@
 
         Server(ListedServer entry) {
             id = entry.id();
-            order = new SplittableRandom(id).nextDouble();
-            size = Math.max(0.01, entry.nominal());
             this.entry = entry;
             this.state = entry.state();
         }
 
-        // The rotation's figures, which only the servers of the subset need.
-        void join(int rows, SplittableRandom random) {
-            if (sum != null) {
-                return;
+        void join(int count, SplittableRandom random) {
+            if (rows == null) {
+                rows = new RowFigures[count];
+                for (int row = 0; row < count; row++) {
+                    rows[row] = new RowFigures();
+                    rows[row].current = random.nextDouble() * WEIGHT_TOTAL;
+                }
             }
-            sum = new double[rows];
-            count = new int[rows];
-            mean = new double[rows];
-            answers = new int[rows];
-            weight = new int[rows];
-            current = new double[rows];
-            for (int row = 0; row < rows; row++) {
-                current[row] = random.nextDouble() * WEIGHT_TOTAL;
+        }
+
+        // Ends the windows that have ended since it was looked at last: no window's end visits all servers.
+        void endWindows(long ended) {
+            // Past so many even the largest count is halved to none.
+            for (windows = Math.max(windows, ended - Integer.SIZE); windows < ended; windows++) {
+                for (int row = 0; rows != null && row < rows.length; row++) {
+                    rows[row].endWindow();
+                }
             }
         }
     }
@@ -262,10 +285,10 @@
     private boolean hears;
     private double meanLoad;
     private final Room fleet = new Room();
-    private final Map<Long, Server> byId = new HashMap<>();
-    private final ArrayList<Server> servers = new ArrayList<>();
-    private final TreeMap<Double, Server> ring = new TreeMap<>();
-    private double ringLength;
+    private final Ring<Server> ring = new Ring<>();
+    // Of the listed servers those that are barred, the first to come back first.
+    private final TreeSet<Server> barred =
+        new TreeSet<>(Comparator.comparingLong((Server s) -> s.barredUntil).thenComparingLong(s -> s.id));
     private final ArrayList<Server> subset = new ArrayList<>();
     private final ArrayList<Attempt> out = new ArrayList<>();
     private double outTime;
@@ -293,6 +316,7 @@
     private final Map<Integer, Double> trips = new HashMap<>();
     private long requestNumber;
     private long windowEnd = NEVER;
+    private long windowsEnded;
     private long wokenAt = NEVER;
     private long lookAt = NEVER;
     private long askAt = Long.MAX_VALUE;
@@ -363,7 +387,7 @@
 
     @Override
     public Standing standing(long at, long server) {
-        Server s = byId.get(server);
+        Server s = ring.get(server);
         return s == null || s.state != ServerState.UP ? Standing.DRAINING
             : at < s.barredUntil ? Standing.BARRED : mute(s) ? Standing.MUTE : Standing.USED;
     }
@@ -377,6 +401,11 @@
             && (warmth(a.server, at) >= 1 || at - a.sentAt <= COLD_WAIT_PART * settings.rules().fallAfter());
     }
 
+    // How many of the listed servers were looked at so far: nothing else holds all of them.
+    long visits() {
+        return ring.visits();
+    }
+
     // ==== Requests: one final answer each ============================================================
 
     private void arrive(RequestArrived e) {
@@ -534,11 +563,9 @@
         if (q.type.repeat() == Repeat.SAFE || untouched(q)) {
             return true;
         }
-        if (q.type.repeat() == Repeat.UNSAFE) {
-            return false;
-        }
         Attempt first = q.firstThatMayHaveRun;
-        return sameGroup(q.type.group(), first.server, s) && now < first.sentAt + q.type.window();
+        return q.type.repeat() == Repeat.KEYED && sameGroup(q.type.group(), first.server, s)
+            && now < first.sentAt + q.type.window();
     }
 
     private static boolean sameGroup(Group group, Server a, Server b) {
@@ -552,35 +579,21 @@
     // ==== The rotation: Per-Function Auto Weighted Round-Robin =======================================
 
     private void sample(Server s, int row, long elapsed) {
+        s.endWindows(windowsEnded);
         if (row != sharedRow) {
-            s.sum[row] += elapsed;
-            s.count[row]++;
+            s.rows[row].sample(elapsed);
         }
-        s.sum[sharedRow] += elapsed;
-        s.count[sharedRow]++;
+        s.rows[sharedRow].sample(elapsed);
     }
 
     private void endWindow() {
-        servedRate = served / (double) WINDOW / Math.max(1, Math.min(servers.size(), subsetSize()));
+        servedRate = served / (double) WINDOW / Math.max(1, Math.min(ring.count(), subsetSize()));
         served = 0;
         meanOut = (outTime - outTimeBefore) / WINDOW;
         outTimeBefore = outTime;
         windowEnd += ((now - windowEnd) / WINDOW + 1) * WINDOW;
         repeatsDue /= 2;
-        for (Server s : servers) {
-            for (int row = 0; s.sum != null && row <= sharedRow; row++) {
-                if (s.count[row] > 0) {
-                    s.mean[row] = s.sum[row] / s.count[row];
-                    s.answers[row] = s.count[row];
-                } else {
-                    // Without samples a mean outlives a window for each doubling of the answers in it.
-                    s.answers[row] /= 2;
-                    s.mean[row] = s.answers[row] == 0 ? 0 : s.mean[row];
-                }
-                s.sum[row] = 0;
-                s.count[row] = 0;
-            }
-        }
+        windowsEnded++;
         chooseSubset();
     }
 
@@ -589,11 +602,13 @@
     private void chooseSubset() {
         int size = subsetSize();
         subset.clear();
-        boolean all = size >= servers.size();
+        boolean all = size >= ring.count();
+        List<Server> servers = all ? ring.first(size) : List.of();
         for (int k = 0; subset.size() < size && k < (all ? servers.size() : SUBSET_TRIES * size); k++) {
             double point = ((settings.node() + 0.5) / settings.nodes() + k * GOLDEN) % 1;
-            Server s = all ? servers.get(k) : ring.floorEntry(point * ringLength).getValue();
+            Server s = all ? servers.get(k) : ring.at(point);
             if (s.state == ServerState.UP && (all || now >= s.barredUntil) && !subset.contains(s)) {
+                s.endWindows(windowsEnded);
                 s.join(sharedRow + 1, random);
                 subset.add(s);
             }
@@ -604,10 +619,10 @@
     }
 
     private int subsetSize() {
-        double perServer = settings.nodes() / (100.0 * Math.max(1, servers.size()));
+        double perServer = settings.nodes() / (100.0 * Math.max(1, ring.count()));
         double price = settings.prices().connection() * perServer;
         double paid = price > 0 ? Math.min(FREE_SUBSET, CONNECTION_SPEND / price) : FREE_SUBSET;
-        paid = Math.min(paid, DOZEN * Math.max(1, servers.size() / (double) settings.nodes()));
+        paid = Math.min(paid, DOZEN * Math.max(1, ring.count() / (double) settings.nodes()));
         double each = hears && fleet.known() ? fleet.size(1) : 1;
         double wanted = Math.max(out.size(), SUBSET_SPARE * meanOut) / each;
         return (int) Math.max(LEAST_SUBSET, Math.max(paid, wanted));
@@ -617,28 +632,24 @@
     private void weigh(int row) {
         double known = 0;
         int samples = 0;
-        int answers = 0;
+        int answers = subset.stream().mapToInt(s -> s.rows[row].answers).sum();
         for (Server s : subset) {
-            known += s.mean[row];
-            samples += s.mean[row] > 0 ? 1 : 0;
-            answers += s.answers[row];
+            known += s.rows[row].mean;
+            samples += s.rows[row].mean > 0 ? 1 : 0;
         }
         // A row of a few answers is chance: until it has some of each server, the shared one is borrowed.
         rowLive[row] = answers >= ROW_ANSWERS * subset.size();
         double others = samples > 0 ? known / samples : 1;
         double raw = 0;
         for (Server s : subset) {
-            raw += 1 / meanOr(s, row, others);
+            raw += 1 / s.rows[row].meanOr(others);
         }
         for (Server s : subset) {
-            s.weight[row] = Math.max(1, (int) (1 / meanOr(s, row, others) / raw * WEIGHT_TOTAL));
+            RowFigures figures = s.rows[row];
+            figures.weight = Math.max(1, (int) (1 / figures.meanOr(others) / raw * WEIGHT_TOTAL));
         }
     }
 
-    private static double meanOr(Server s, int row, double others) {
-        return s.mean[row] > 0 ? s.mean[row] : others;
-    }
-
     // The next server of the rotation for a request, or null if none has room. The turn is not taken yet.
     private Server next(Request q) {
         double mean = out.size() / (double) Math.max(1, subset.size());
@@ -675,34 +686,29 @@
     private double turn(Server s, int row, Request q) {
         boolean chance = sounds && s.coldDrawnAt != NEVER && warmth(s, now) < 1;
         // A key's server may go a turn early, no more: the rotation gives each the turns of its weight.
-        return s.current[row] + s.weight[row] + (chance || s == q.home ? WEIGHT_TOTAL : 0);
+        return s.rows[row].current + s.rows[row].weight + (chance || s == q.home ? WEIGHT_TOTAL : 0);
     }
 
     // Departure "keys": the server of the subset that a key is brought to, by the largest of their hashes
     // with it: nodes that share servers agree without a word, and a change of the list moves few keys.
     private Server homeOf(long key) {
-        Server home = null;
-        long most = Long.MIN_VALUE;
-        for (Server s : subset) {
-            long mixed = (key ^ s.id * MIX) * MIX;
-            mixed = (mixed ^ mixed >>> 32) * MIX;
-            if (home == null || mixed > most) {
-                home = s;
-                most = mixed;
-            }
-        }
-        return home;
+        return subset.stream().max(Comparator.comparingLong(s -> mixed(key, s.id))).orElse(null);
+    }
+
+    private static long mixed(long key, long id) {
+        long mixed = (key ^ id * MIX) * MIX;
+        return (mixed ^ mixed >>> 32) * MIX;
     }
 
     private void takeTurn(Server chosen, int row) {
         int total = 0;
         for (Server s : subset) {
             if (s.candidate) {
-                s.current[row] += s.weight[row];
-                total += s.weight[row];
+                s.rows[row].current += s.rows[row].weight;
+                total += s.rows[row].weight;
             }
         }
-        chosen.current[row] -= total;
+        chosen.rows[row].current -= total;
     }
 
     // ==== Room: what a server can take within the aim ================================================
@@ -783,7 +789,7 @@
 
     // The nodes that have a server in their subset.
     private double sharing() {
-        return Math.max(1, settings.nodes() * Math.min(1, subset.size() / (double) servers.size()));
+        return Math.max(1, settings.nodes() * Math.min(1, subset.size() / (double) ring.count()));
     }
 
     private boolean known(Server s) {
@@ -914,7 +920,7 @@
             hears ? Math.max(s.out.size(), believed(s)) : Math.max(s.load, s.out.size()));
         q.out.add(a);
         load(a);
-        if (subsetSize() > subset.size() && subset.size() < servers.size()) {
+        if (subsetSize() > subset.size() && subset.size() < ring.count()) {
             chooseSubset();
         }
         if (!held.isEmpty()) {
@@ -1019,7 +1025,7 @@
             case RESET -> broken(s);
             case ERROR -> failed(s);
             case REJECTED -> {
-                s.barredUntil = Math.max(s.barredUntil, now + (long) (service / 2));
+                bar(s, Math.max(s.barredUntil, now + (long) (service / 2)));
                 s.pace.congested(now, s.out.size() + 1, service, sharing());
             }
             default -> { }
@@ -1078,16 +1084,16 @@
         // A bar shorter than the time between two sends to a server is none. Of what is asked for: by what is
         // served bars grew with what they kept from being served, until next to nothing was.
         double turn = hears ? Math.max(FIRST_BAR, askedEvery * subset.size()) : FIRST_BAR;
-        long bar = (long) Math.min(FIRST_BAR << MOST_STRIKES, turn * (1 << s.strikes));
-        s.barredUntil = now + bar / 2 + random.nextLong(bar);
+        long span = (long) Math.min(FIRST_BAR << MOST_STRIKES, turn * (1 << s.strikes));
+        bar(s, now + span / 2 + random.nextLong(span));
         s.strikes = Math.min(MOST_STRIKES, s.strikes + 1);
-        if (servers.size() > subset.size()) {
+        if (ring.count() > subset.size()) {
             chooseSubset();
         }
     }
 
     private void probeEnded(ProbeEnded e) {
-        Server s = byId.get(e.server());
+        Server s = ring.get(e.server());
         if (s == null) {
             return;
         }
@@ -1123,7 +1129,7 @@
         if (sounds && freshness.stale()) {
             sounds = false;
             hears = false;
-            servers.forEach(s -> s.load = s.out.size());
+            ring.forEach(s -> s.load = s.out.size());
         }
     }
 
@@ -1138,9 +1144,7 @@
         }
         lookAt = now + LOOK_EVERY;
         LinkedHashSet<Attempt> overdue = new LinkedHashSet<>();
-        for (Attempt a : out) {
-            a.server.due = 0;
-        }
+        out.forEach(a -> a.server.due = 0);
         for (Attempt a : out) {
             Server s = a.server;
             double expected = serviceOf(s) * turns(s, a.loadBefore);
@@ -1162,7 +1166,18 @@
 
     // What half of the fleet shows is no single server's trouble, and the rest could not carry the load.
     private boolean manyBarred() {
-        return 2 * servers.stream().filter(s -> now < s.barredUntil).count() >= subset.size();
+        while (!barred.isEmpty() && barred.first().barredUntil <= now) {
+            barred.pollFirst();
+        }
+        return 2 * barred.size() >= subset.size();
+    }
+
+    private void bar(Server s, long until) {
+        barred.remove(s);
+        s.barredUntil = until;
+        if (until > now && s.state != ServerState.GONE) {
+            barred.add(s);
+        }
     }
 
     // Departure "silence": what is out at a silent server, or out for far too long, is tried anew where a
@@ -1225,34 +1240,34 @@
 
     private void follow(ServerList list) {
         asksFailed = 0;
-        if (list.scope() != ListScope.CHANGES) {
-            servers.forEach(s -> s.state = ServerState.GONE);
-        }
+        boolean whole = list.scope() != ListScope.CHANGES;
+        List<Server> named = whole ? ring.first(ring.count()) : new ArrayList<>();
+        named.forEach(s -> s.state = ServerState.GONE);
         for (ListedServer e : list.servers()) {
-            Server s = byId.get(e.id());
+            Server s = ring.get(e.id());
             boolean known = s != null;
             if (!known) {
                 s = new Server(e);
-                byId.put(s.id, s);
-                servers.add(s);
+                // By the size as it was first told: a weight that follows the load would move all others.
+                ring.put(s.id, Math.max(0.01, e.nominal()), s);
             }
             if (!known || e.startedAt() > s.entry.startedAt()) {
                 s.coldSince = Math.max(s.coldSince, e.startedAt() > 0 ? e.startedAt() : NEVER);
                 s.coldDrawnAt = NEVER;
                 s.slowness = 0;
                 s.strikes = 0;
-                s.barredUntil = NEVER;
+                bar(s, NEVER);
             }
             s.entry = e;
             s.state = e.state();
+            named.add(s);
         }
-        servers.removeIf(s -> s.state == ServerState.GONE && byId.remove(s.id) == s);
-        servers.sort(Comparator.comparingDouble((Server s) -> s.order).thenComparingLong(s -> s.id));
-        ring.clear();
-        ringLength = 0;
-        for (Server s : servers) {
-            ring.put(ringLength, s);
-            ringLength += s.size;
+        // Named twice, a server is what it was named last.
+        for (Server s : named) {
+            if (s.state == ServerState.GONE) {
+                ring.remove(s.id);
+                barred.remove(s);
+            }
         }
         chooseSubset();
     }
--- /dev/null
+++ b/src/main/java/ottergauge/ring/Ring.java
@@ -0,0 +1,211 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.ring;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+/**
+ * Elements side by side on a circle, in the order of a hash of their ids, each with an arc as long as its
+ * size. Insertion, removal and both kinds of lookup visit a number of elements that grows with the logarithm
+ * of how many there are.
+ *
+ * <p>It is a treap (Seidel and Aragon, 1996) whose priorities are hashes of the ids too, and which keeps with
+ * each subtree the length of its arcs. The same elements make the same tree, whatever was put and removed
+ * before: where an arc lies is the same to the last bit at all that hold the same elements.
+ *
+ * @param <E> what is found by an id or a point
+ */
+public final class Ring<E> {
+
+    private static final class Node<E> {
+        final long id;
+        final double order;
+        final long priority;
+        final double size;
+        final E element;
+        Node<E> left;
+        Node<E> right;
+        /** The length of all arcs of this subtree. */
+        double length;
+
+        Node(long id, double size, E element) {
+            SplittableRandom hash = new SplittableRandom(id);
+            this.id = id;
+            this.order = hash.nextDouble();
+            this.priority = hash.nextLong();
+            this.size = size;
+            this.element = element;
+            this.length = size;
+        }
+
+        boolean precedes(Node<E> other) {
+            return order < other.order || order == other.order && id < other.id;
+        }
+
+        /** Whether this is to stand above another node in the tree. */
+        boolean outranks(Node<E> other) {
+            return priority > other.priority || priority == other.priority && id < other.id;
+        }
+
+        void addUp() {
+            length = lengthOf(left) + size + lengthOf(right);
+        }
+    }
+
+    private Node<E> root;
+    private int count;
+    private long visits;
+
+    /** How many elements there are. */
+    public int count() {
+        return count;
+    }
+
+    /** How many elements have been visited by all calls so far: the cost of what was done, as a count. */
+    public long visits() {
+        return visits;
+    }
+
+    /** The element of this id; null if there is none. */
+    public E get(long id) {
+        Node<E> wanted = new Node<>(id, 0, null);
+        Node<E> node = root;
+        while (node != null && node.id != id) {
+            visits++;
+            node = wanted.precedes(node) ? node.left : node.right;
+        }
+        return node == null ? null : node.element;
+    }
+
+    /** Adds an element, or replaces the one of this id; its size is above 0. */
+    public void put(long id, double size, E element) {
+        remove(id);
+        root = insert(root, new Node<>(id, size, element));
+        count++;
+    }
+
+    /** Removes the element of this id, if there is one. */
+    public void remove(long id) {
+        if (get(id) != null) {
+            root = remove(root, new Node<>(id, 0, null));
+            count--;
+        }
+    }
+
+    /** The element in whose arc a point lies, which is a part of the whole circle; null on an empty ring. */
+    public E at(double point) {
+        Node<E> node = root;
+        double rest = point * lengthOf(root);
+        while (node != null) {
+            visits++;
+            double before = lengthOf(node.left);
+            if (rest < before) {
+                node = node.left;
+            } else if (rest < before + node.size || node.right == null) {
+                return node.element;
+            } else {
+                rest -= before + node.size;
+                node = node.right;
+            }
+        }
+        return null;
+    }
+
+    /** The first elements in the order of the ring, at most so many. */
+    public List<E> first(int most) {
+        List<E> found = new ArrayList<>(Math.min(most, count));
+        collect(root, most, found);
+        return found;
+    }
+
+    /** Hands over all elements in the order of the ring. */
+    public void forEach(Consumer<E> action) {
+        first(count).forEach(action);
+    }
+
+    private void collect(Node<E> node, int most, List<E> found) {
+        if (node == null || found.size() >= most) {
+            return;
+        }
+        visits++;
+        collect(node.left, most, found);
+        if (found.size() < most) {
+            found.add(node.element);
+            collect(node.right, most, found);
+        }
+    }
+
+    private Node<E> insert(Node<E> node, Node<E> fresh) {
+        visits++;
+        if (node == null) {
+            return fresh;
+        }
+        if (fresh.outranks(node)) {
+            split(node, fresh);
+            fresh.addUp();
+            return fresh;
+        }
+        if (fresh.precedes(node)) {
+            node.left = insert(node.left, fresh);
+        } else {
+            node.right = insert(node.right, fresh);
+        }
+        node.addUp();
+        return node;
+    }
+
+    /** Makes what precedes a node in a subtree its left one, and the rest its right one. */
+    private void split(Node<E> node, Node<E> at) {
+        visits++;
+        if (node == null) {
+            at.left = null;
+            at.right = null;
+        } else if (node.precedes(at)) {
+            split(node.right, at);
+            node.right = at.left;
+            node.addUp();
+            at.left = node;
+        } else {
+            split(node.left, at);
+            node.left = at.right;
+            node.addUp();
+            at.right = node;
+        }
+    }
+
+    private Node<E> remove(Node<E> node, Node<E> wanted) {
+        visits++;
+        if (node.id == wanted.id) {
+            return merge(node.left, node.right);
+        }
+        if (wanted.precedes(node)) {
+            node.left = remove(node.left, wanted);
+        } else {
+            node.right = remove(node.right, wanted);
+        }
+        node.addUp();
+        return node;
+    }
+
+    /** One subtree of two, of which the first precedes the second. */
+    private Node<E> merge(Node<E> first, Node<E> second) {
+        visits++;
+        if (first == null || second == null) {
+            return first == null ? second : first;
+        }
+        if (first.outranks(second)) {
+            first.right = merge(first.right, second);
+            first.addUp();
+            return first;
+        }
+        second.left = merge(first, second.left);
+        second.addUp();
+        return second;
+    }
+
+    private static double lengthOf(Node<?> node) {
+        return node == null ? 0 : node.length;
+    }
+}
--- a/src/test/java/ottergauge/ArchitectureTest.java
+++ b/src/test/java/ottergauge/ArchitectureTest.java
@@ -24,10 +24,21 @@
     void theModuleKnowsOnlyTheJdkAndItsInterface() {
         classes().that(belongToAnyOf(Decide.class, DecisionApi.class))
             .should(onlyDependOnClassesThat(resideInAnyPackage("java.lang..", "java.util",
-                "java.util.function", "java.util.stream", "ottergauge", "ottergauge.limits")))
+                "java.util.function", "java.util.stream", "ottergauge", "ottergauge.limits",
+                "ottergauge.ring")))
             .check(all);
     }
 
+    @Test
+    void theRingIsADataStructureOfTheJdkAlone() {
+        classes().that(resideInAnyPackage("ottergauge.ring"))
+            .should(onlyDependOnClassesThat(resideInAnyPackage("java.lang..", "java.util",
+                "java.util.function", "ottergauge.ring")))
+            .check(all);
+        noClasses().that(resideInAnyPackage("ottergauge.ring")).should().dependOnClassesThat()
+            .belongToAnyOf(System.class, Thread.class, java.util.Random.class).check(all);
+    }
+
     @Test
     void limitsAreNumbersAndNothingElse() {
         classes().that(resideInAnyPackage("ottergauge.limits"))
@@ -56,7 +67,7 @@
     @Test
     void theNodesLayersDependOneWay() {
         layeredArchitecture().consideringOnlyDependenciesInAnyPackage("ottergauge..")
-            .layer("decisions").definedBy("ottergauge", "ottergauge.limits..")
+            .layer("decisions").definedBy("ottergauge", "ottergauge.limits..", "ottergauge.ring..")
             .layer("settings").definedBy("ottergauge.settings..")
             .layer("migration").definedBy("ottergauge.migration..")
             .layer("simhost").definedBy("ottergauge.simhost..")
--- /dev/null
+++ b/src/test/java/ottergauge/BarredServersTest.java
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import ottergauge.DecisionApi.Action;
+import ottergauge.DecisionApi.ClientGone;
+import ottergauge.DecisionApi.Result;
+import ottergauge.DecisionApi.Send;
+import ottergauge.DecisionApi.ServerState;
+import ottergauge.DecisionApi.Standing;
+
+/** Errors bar a server only while the barred ones of the list are under half of the node's servers. */
+class BarredServersTest {
+
+    private static final long MS = Node.MS;
+    private static final int SERVERS = 8;
+    private static final int HALF = SERVERS / 2;
+
+    private final Node node = new Node(new TestSettings().build());
+    private int lastRequest;
+
+    BarredServersTest() {
+        node.servers(SERVERS);
+    }
+
+    /** All that is sent for so many requests fails. */
+    private void fail(int requests) {
+        for (int i = 0; i < requests; i++) {
+            String id = "r" + ++lastRequest;
+            List<Action> actions = node.arrive(id);
+            for (int attempt = 0; !Node.those(Send.class, actions).isEmpty(); attempt++) {
+                long server = Node.only(Send.class, actions).server();
+                node.now += MS;
+                actions = node.ended(id, attempt, server, Result.ERROR, MS);
+            }
+        }
+    }
+
+    private List<Long> barred() {
+        return LongStream.rangeClosed(1, SERVERS).boxed()
+            .filter(id -> node.decide.standing(node.now, id) == Standing.BARRED).toList();
+    }
+
+    @Test
+    void noMoreThanHalfOfThemAreBarredForErrors() {
+        fail(20);
+        assertEquals(HALF, barred().size());
+        fail(20);
+        assertEquals(HALF, barred().size());
+    }
+
+    @Test
+    void aServerWhoseBarIsOverCountsNoMore() {
+        fail(20);
+        node.now += 10_000 * MS;
+        assertEquals(0, barred().size());
+        fail(20);
+        assertEquals(HALF, barred().size());
+    }
+
+    @Test
+    void aBarredServerThatLeavesTheListCountsNoMore() {
+        fail(20);
+        barred().forEach(id -> node.change(id, ServerState.GONE, 0));
+        assertEquals(0, barred().size());
+        fail(20);
+        assertEquals(HALF / 2, barred().size(), "of those that are left");
+    }
+
+    /** What was out at a server when it left may fail after that. */
+    @Test
+    void aServerThatFailsAfterItHasLeftDoesNotCount() {
+        for (int i = 0; i < HALF; i++) {
+            Send send = Node.only(Send.class, node.arrive("left-" + i));
+            node.change(send.server(), ServerState.GONE, 0);
+            node.now += MS;
+            node.ended(send.id(), 0, send.server(), Result.CONNECT_FAILED, MS);
+            node.on(new ClientGone(send.id()));
+        }
+        fail(20);
+        assertEquals(HALF / 2, barred().size(), "of those that are left");
+    }
+
+    /** Its bar ends with its restart: the next one may be barred for that. */
+    @Test
+    void aBarredServerThatRestartsCountsNoMore() {
+        fail(20);
+        barred().stream().skip(1).forEach(id -> node.change(id, ServerState.UP, node.now));
+        assertEquals(1, barred().size());
+        fail(20);
+        assertEquals(HALF, barred().size());
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/ListCostTest.java
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.ObjIntConsumer;
+import org.junit.jupiter.api.Test;
+import ottergauge.DecisionApi.ListScope;
+import ottergauge.DecisionApi.ListedServer;
+import ottergauge.DecisionApi.Result;
+import ottergauge.DecisionApi.Send;
+import ottergauge.DecisionApi.ServerList;
+import ottergauge.DecisionApi.ServerState;
+
+/**
+ * What happens once costs by what happened and not by the list: the number of servers looked at, as a
+ * count. Eight times as many servers are three more halvings of them.
+ */
+class ListCostTest {
+
+    private static final long MS = Node.MS;
+    private static final int SMALL = 1_000;
+    private static final int LARGE = 8_000;
+    private static final int TIMES = 100;
+    // So few that the subset is as large as it gets, whatever the list.
+    private static final int NODES = 50;
+    // The logarithm of 8,000 is 1.3 times that of 1,000; the rest is how the trees happen to lie.
+    private static final double MOST_GROWTH = 1.6;
+
+    private static Node node(int servers) {
+        TestSettings settings = new TestSettings();
+        settings.nodes = NODES;
+        settings.node = 17;
+        Node node = new Node(settings.build());
+        node.servers(servers);
+        return node;
+    }
+
+    /** The mean number of servers looked at by what is done at a node that has so many. */
+    private static double visits(int servers, ObjIntConsumer<Node> done) {
+        Node node = node(servers);
+        long before = node.decide.visits();
+        for (int i = 0; i < TIMES; i++) {
+            done.accept(node, i);
+        }
+        return (node.decide.visits() - before) / (double) TIMES;
+    }
+
+    private static void hardlyGrows(ObjIntConsumer<Node> done) {
+        double small = visits(SMALL, done);
+        double large = visits(LARGE, done);
+        assertTrue(large <= MOST_GROWTH * small + 1, "looked at " + small + " of " + SMALL + ", at " + large
+            + " of " + LARGE);
+    }
+
+    /** Guards against counts that miss what a list is held in: a whole list does look at all of them. */
+    @Test
+    void theCountSeesAWalkOverAllServers() {
+        Node node = node(LARGE);
+        long before = node.decide.visits();
+        node.servers(LARGE);
+        assertTrue(node.decide.visits() - before >= LARGE, "not counted");
+    }
+
+    @Test
+    void oneChangeOfTheList() {
+        hardlyGrows((node, i) -> node.change(1 + 7 * i, ServerState.DRAINING, 0));
+        hardlyGrows((node, i) -> node.change(1 + 7 * i, ServerState.GONE, 0));
+        hardlyGrows((node, i) -> node.change(1 + 7 * i, ServerState.UP, node.now));
+        hardlyGrows((node, i) -> node.change(100_000 + i, ServerState.UP, node.now));
+    }
+
+    /** A lost zone: what it costs goes by how many are named, wherever the others are. */
+    @Test
+    void aChangeOfManyServersAtOnce() {
+        hardlyGrows((node, i) -> {
+            List<ListedServer> lost = new ArrayList<>();
+            for (int k = 0; k < 5; k++) {
+                lost.add(Node.server(1 + 5 * i + k, ServerState.GONE, 0));
+            }
+            node.on(new ServerList(ListScope.CHANGES, lost));
+        });
+    }
+
+    @Test
+    void aRequestItsAnswerAndItsFailures() {
+        hardlyGrows((node, i) -> node.serve("r" + i, MS));
+        hardlyGrows((node, i) -> fail(node, "r" + i, Result.ERROR));
+        hardlyGrows((node, i) -> fail(node, "r" + i, Result.REJECTED));
+        hardlyGrows((node, i) -> fail(node, "r" + i, Result.CONNECT_FAILED));
+    }
+
+    private static void fail(Node node, String id, Result result) {
+        node.now += 500 * MS;
+        for (Send send : Node.those(Send.class, node.arrive(id))) {
+            node.ended(id, 0, send.server(), result, MS);
+        }
+    }
+
+    @Test
+    void theEndOfAWindow() {
+        hardlyGrows((node, i) -> {
+            node.serve("r" + i, MS);
+            node.after(5_000 * MS);
+        });
+    }
+
+    /** Attempts that stay unanswered make the node look for silent servers. */
+    @Test
+    void silence() {
+        hardlyGrows((node, i) -> {
+            node.arrive("r" + i);
+            node.after(300 * MS);
+            node.after(300 * MS);
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/ring/PlainRing.java
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.ring;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/** The plain way to lay out a ring, as a reference: all ids are sorted and all arcs added up each time. */
+public final class PlainRing {
+
+    private final List<Long> ids;
+    private final TreeMap<Double, Long> arcs = new TreeMap<>();
+    private double length;
+
+    /** A ring of these sizes by id. */
+    public PlainRing(Map<Long, Double> sizes) {
+        ids = new ArrayList<>(sizes.keySet());
+        ids.sort(Comparator.comparingDouble(PlainRing::order).thenComparingLong(id -> id));
+        for (long id : ids) {
+            arcs.put(length, id);
+            length += sizes.get(id);
+        }
+    }
+
+    private static double order(long id) {
+        return new SplittableRandom(id).nextDouble();
+    }
+
+    public List<Long> ids() {
+        return ids;
+    }
+
+    public long at(double point) {
+        return arcs.floorEntry(point * length).getValue();
+    }
+
+    /** The points at which an arc begins. */
+    public List<Double> beginnings() {
+        return arcs.keySet().stream().map(from -> from / length).toList();
+    }
+
+    /** How far outside of an element's arc a point lies, as a part of the whole; 0 inside of it. */
+    public double distance(double point, long id) {
+        double at = point * length;
+        for (Map.Entry<Double, Long> arc : arcs.entrySet()) {
+            if (arc.getValue() == id) {
+                Double next = arcs.higherKey(arc.getKey());
+                double end = next == null ? length : next;
+                return Math.max(0, Math.max(arc.getKey() - at, at - end)) / length;
+            }
+        }
+        return Double.POSITIVE_INFINITY;
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/ring/RingTest.java
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.ring;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import java.util.stream.LongStream;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+/** A ring gives what the plain computation gives, whatever was inserted and removed before, at less cost. */
+class RingTest {
+
+    private static final int POINTS = 64;
+    private static final int CHANGES = 200;
+
+    /** An element is put with a size, or removed (size 0). */
+    record Step(long id, double size) { }
+
+    /** Sizes that add up exactly in any order, so that the very beginning of an arc is told apart. */
+    @Provide
+    Arbitrary<List<Step>> exactSteps() {
+        return steps(Arbitraries.integers().between(0, 64).map(sixteenths -> sixteenths / 16.0));
+    }
+
+    @Provide
+    Arbitrary<List<Step>> anySteps() {
+        return steps(Arbitraries.oneOf(Arbitraries.just(0.0), Arbitraries.doubles().between(0.01, 50)));
+    }
+
+    private static Arbitrary<List<Step>> steps(Arbitrary<Double> sizes) {
+        return Combinators.combine(Arbitraries.longs().between(0, 40), sizes).as(Step::new).list()
+            .ofMaxSize(120);
+    }
+
+    private static void take(Ring<Long> ring, Map<Long, Double> sizes, Step step) {
+        if (step.size() > 0) {
+            ring.put(step.id(), step.size(), step.id());
+            sizes.put(step.id(), step.size());
+        } else {
+            ring.remove(step.id());
+            sizes.remove(step.id());
+        }
+    }
+
+    @Property(tries = 400, seed = "61")
+    void afterEachChangeItGivesWhatThePlainComputationGives(@ForAll("exactSteps") List<Step> steps) {
+        Ring<Long> ring = new Ring<>();
+        Map<Long, Double> sizes = new LinkedHashMap<>();
+        for (Step step : steps) {
+            take(ring, sizes, step);
+            PlainRing plain = new PlainRing(sizes);
+            assertEquals(plain.ids(), ring.first(ring.count()));
+            assertEquals(plain.ids().subList(0, Math.min(3, plain.ids().size())), ring.first(3));
+            assertEquals(sizes.containsKey(step.id()) ? step.id() : null, ring.get(step.id()));
+            for (int i = 0; i < POINTS && !sizes.isEmpty(); i++) {
+                assertEquals(plain.at(i / (double) POINTS), ring.at(i / (double) POINTS));
+            }
+            for (double point : plain.beginnings()) {
+                assertEquals(plain.at(point), ring.at(point));
+            }
+        }
+    }
+
+    @Property(tries = 400, seed = "62")
+    void aPointLiesInTheArcThatIsFoundWhateverTheSizes(@ForAll("anySteps") List<Step> steps) {
+        Ring<Long> ring = new Ring<>();
+        Map<Long, Double> sizes = new LinkedHashMap<>();
+        steps.forEach(step -> take(ring, sizes, step));
+        PlainRing plain = new PlainRing(sizes);
+        for (int i = 0; i < POINTS && !sizes.isEmpty(); i++) {
+            double point = i / (double) POINTS;
+            assertTrue(plain.distance(point, ring.at(point)) < 1e-12, "the arc at " + point);
+        }
+    }
+
+    /** Guards against nodes whose rings differ by what each has gone through: to the last bit. */
+    @Property(tries = 400, seed = "63")
+    void aChainOfChangesGivesTheSameAsAllAtOnceInAnyOrder(@ForAll("anySteps") List<Step> steps,
+                                                          @ForAll long shuffle) {
+        Ring<Long> chain = new Ring<>();
+        Map<Long, Double> sizes = new LinkedHashMap<>();
+        steps.forEach(step -> take(chain, sizes, step));
+        Ring<Long> whole = new Ring<>();
+        List<Long> ids = new ArrayList<>(sizes.keySet());
+        Collections.shuffle(ids, new Random(shuffle));
+        ids.forEach(id -> whole.put(id, sizes.get(id), id));
+        assertEquals(whole.first(ids.size()), chain.first(chain.count()));
+        // Where arcs begin is found by halving, so that the last bit of a sum shows.
+        for (double point = 0.5; point > 1e-15 && !ids.isEmpty(); point /= 2) {
+            assertEquals(boundary(whole, point), boundary(chain, point));
+        }
+    }
+
+    /** The first point from a half of this one on, to the last bit, at which this one's element is found. */
+    private static double boundary(Ring<Long> ring, double point) {
+        double outside = point / 2;
+        double inside = point;
+        while (outside < inside && (outside + inside) / 2 > outside && (outside + inside) / 2 < inside) {
+            double middle = (outside + inside) / 2;
+            if (ring.at(middle).equals(ring.at(point))) {
+                inside = middle;
+            } else {
+                outside = middle;
+            }
+        }
+        return inside;
+    }
+
+    @Test
+    void anEmptyRingHasNothingAnywhere() {
+        Ring<Long> ring = new Ring<>();
+        assertNull(ring.at(0.3));
+        assertNull(ring.get(1));
+        assertEquals(List.of(), ring.first(5));
+        ring.remove(1);
+        assertEquals(0, ring.count());
+    }
+
+    /** The mean number of elements that one change, or one lookup, visits among so many. */
+    private static double cost(int elements, BiConsumer<Ring<Long>, Long> use) {
+        Ring<Long> ring = new Ring<>();
+        LongStream.range(0, elements).forEach(id -> ring.put(id, 1, id));
+        SplittableRandom random = new SplittableRandom(9);
+        long before = ring.visits();
+        for (int i = 0; i < CHANGES; i++) {
+            use.accept(ring, random.nextLong(elements));
+        }
+        return (ring.visits() - before) / (double) CHANGES;
+    }
+
+    /** Eight times as many elements are three more halvings, of some twenty. */
+    private static void growsByTheLogarithm(BiConsumer<Ring<Long>, Long> use) {
+        double small = cost(1_000, use);
+        double large = cost(8_000, use);
+        assertTrue(large <= 1.6 * small, "visits " + small + " of 1,000, " + large + " of 8,000");
+    }
+
+    @Test
+    void whatAChangeOrALookupVisitsHardlyGrowsWithTheElements() {
+        growsByTheLogarithm((ring, id) -> ring.get(id));
+        growsByTheLogarithm((ring, id) -> ring.at(id / (double) ring.count()));
+        growsByTheLogarithm((ring, id) -> ring.first(12));
+        growsByTheLogarithm((ring, id) -> ring.put(id, 2, id));
+        growsByTheLogarithm((ring, id) -> {
+            ring.remove(id);
+            ring.put(id + ring.count() + 1, 1, id);
+        });
+    }
+}
