The decisions take over other settings while they run, at one instant with the list

Of the configuration two values count without a restart; classes, limits, rules, prices and the number of nodes wait for the next start.

The event SettingsChanged brings settings and a change of the list. A request keeps the class, the end and the limits that it was taken with. What is learnt of a class belongs to its name: RowTable numbers the rows of weights, and what lies by row (weights, budgets of further attempts) is laid out anew; a class that goes frees its row, and what still waits of it goes by the shared one. Rules, prices and the number of nodes are in force for all servers at once. It visits all servers once for each change of settings, since rows move; nothing else does.

Left as it is: a change of how long a server is cold, or of its budget's span, counts what it is sent from then on.

Tests seen to fail: with attempts, advice, cancelling (of what a client left, and of what is silent) by the settings in force; with rows not laid out, for weights and for budgets; with the settings apart from the list; with a server that has left still counted in rows; with probes not followed; with the subset or the number of nodes as before.

--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -10,12 +10,14 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.stream.IntStream;
 import ottergauge.DecisionApi.*;
 import ottergauge.limits.Freshness;
 import ottergauge.limits.RetryBudget;
 import ottergauge.limits.Room;
 import ottergauge.limits.ServerPace;
 import ottergauge.ring.Ring;
+import ottergauge.rows.RowTable;
 
 /**
  * Every decision of a node and nothing else. Its interface (settings, events, actions) is DecisionApi.java.
@@ -136,6 +138,10 @@
         int weight;
         double current;
 
+        RowFigures(double current) {
+            this.current = current;
+        }
+
         void sample(long elapsed) {
             sum += elapsed;
             count++;
@@ -161,7 +167,7 @@
         ServerState state;
         final ArrayList<Attempt> out = new ArrayList<>();
         // Its rows in the rotation, once it was in the subset, and how many windows have ended for them.
-        RowFigures[] rows;
+        List<RowFigures> rows = List.of();
         long windows;
         boolean candidate;
         double load;
@@ -191,33 +197,21 @@
             this.state = entry.state();
         }
 
-        void join(int count, SplittableRandom random) {
-            if (rows == null) {
-                rows = new RowFigures[count];
-                for (int row = 0; row < count; row++) {
-                    rows[row] = new RowFigures();
-                    rows[row].current = random.nextDouble() * WEIGHT_TOTAL;
-                }
-            }
-        }
-
         // Ends the windows that have ended since it was looked at last: no window's end visits all servers.
         void endWindows(long ended) {
             // Past so many even the largest count is halved to none.
             for (windows = Math.max(windows, ended - Integer.SIZE); windows < ended; windows++) {
-                for (int row = 0; rows != null && row < rows.length; row++) {
-                    rows[row].endWindow();
-                }
+                rows.forEach(RowFigures::endWindow);
             }
         }
     }
 
-    // A request that this node holds or has sent.
+    // A request that this node holds or has sent, with the class and the limits that it was taken with.
     private static final class Request {
         final String id;
         final long number;
         final RequestClass type;
-        final int row;
+        final Limits limits;
         // The end of its worth, and of what is worked for now: the aim or, once that is past, the same.
         final long arrivedAt;
         final long aimAt;
@@ -240,16 +234,15 @@
         // The server that a key is brought to.
         Server home;
 
-        Request(String id, long number, RequestClass type, int row, long arrivedAt, long aimAt,
-                long usefulUntil) {
-            this.id = id;
+        Request(RequestArrived e, long number, Settings taken, long arrivedAt, long aimAt, long usefulUntil) {
+            id = e.id();
+            type = taken.classes().get(e.requestClass());
+            limits = taken.limits();
             this.number = number;
-            this.type = type;
-            this.row = row;
             this.arrivedAt = arrivedAt;
             this.aimAt = aimAt;
             this.usefulUntil = usefulUntil;
-            this.end = aimAt;
+            end = aimAt;
             worth = type.worth();
         }
     }
@@ -276,16 +269,16 @@
         }
     }
 
-    private final Settings settings;
+    private Settings settings;
     private final SplittableRandom random;
-    private final int sharedRow;
     private boolean sounds;
     private final Freshness freshness = new Freshness();
-    private final int mostProbes;
+    private int mostProbes;
     private boolean hears;
     private double meanLoad;
     private final Room fleet = new Room();
-    private final Ring<Server> ring = new Ring<>();
+    // All listed servers, and nothing else holds them all: what is looked at is counted there.
+    final Ring<Server> ring = new Ring<>();
     // Of the listed servers those that are barred, the first to come back first.
     private final TreeSet<Server> barred =
         new TreeSet<>(Comparator.comparingLong((Server s) -> s.barredUntil).thenComparingLong(s -> s.id));
@@ -297,10 +290,11 @@
     private final Map<String, Request> requests = new HashMap<>();
     private final TreeSet<Request> held = new TreeSet<>(BY_WORTH);
     private final TreeSet<Request> heldByEnd = new TreeSet<>(BY_END);
-    private final long[] longestTry;
-    private final RetryBudget retries;
+    private final RetryBudget retries = new RetryBudget(0);
     private double repeatsDue;
-    private final boolean[] rowLive;
+    private final RowTable rows = new RowTable(MOST_ROWS);
+    private boolean[] rowLive;
+    private final Map<String, Long> longestTry = new HashMap<>();
     private double unreached;
     private double unanswered;
     private long served;
@@ -327,16 +321,8 @@
     private ActionSink sink;
 
     public Decide(Settings settings, long seed) {
-        this.settings = settings;
         random = new SplittableRandom(seed);
-        sharedRow = Math.min(settings.classes().size(), MOST_ROWS);
-        longestTry = new long[settings.classes().size()];
-        rowLive = new boolean[sharedRow + 1];
-        retries = new RetryBudget(settings.classes().size());
-        sounds = settings.limits().probes() && settings.reportsLoad()
-            && settings.prices().probe() * 2 <= PROBE_SPEND;
-        double price = settings.prices().probe();
-        mostProbes = (int) Math.min(FREE_SUBSET, price > 0 ? PROBE_SPEND / price : FREE_SUBSET);
+        takeOver(settings);
     }
 
     /** Takes one event; the actions are to happen at the same instant, in their order. */
@@ -366,6 +352,9 @@
             probeEnded(e);
         } else if (event instanceof ServerList e) {
             follow(e);
+        } else if (event instanceof SettingsChanged e) {
+            takeOver(e.settings());
+            follow(e.servers());
         } else if (event instanceof ListFailed) {
             askAgain();
         } else if (event instanceof ClientGone e) {
@@ -401,11 +390,6 @@
             && (warmth(a.server, at) >= 1 || at - a.sentAt <= COLD_WAIT_PART * settings.rules().fallAfter());
     }
 
-    // How many of the listed servers were looked at so far: nothing else holds all of them.
-    long visits() {
-        return ring.visits();
-    }
-
     // ==== Requests: one final answer each ============================================================
 
     private void arrive(RequestArrived e) {
@@ -416,8 +400,8 @@
         long began = again ? Math.min(now, e.giveUpAt() - type.deadline()) : now;
         long aimAt = began + type.aim() - CLIENT_TRIP;
         long usefulUntil = Math.max(now, type.lateWorth() > 0 ? e.giveUpAt() : Math.min(aimAt, e.giveUpAt()));
-        Request q = new Request(e.id(), requestNumber++, type, Math.min(e.requestClass(), sharedRow),
-            now, Math.min(Math.max(now, aimAt), usefulUntil), usefulUntil);
+        Request q = new Request(e, requestNumber++, settings, now,
+            Math.min(Math.max(now, aimAt), usefulUntil), usefulUntil);
         q.repeat = again;
         q.home = settings.warmKeys() && e.key() != 0 ? homeOf(e.key()) : null;
         requests.put(q.id, q);
@@ -443,7 +427,7 @@
             return e.clientRepeat();
         }
         long left = e.giveUpAt() - now;
-        long longest = longestTry[e.requestClass()] = Math.max(longestTry[e.requestClass()], left);
+        long longest = longestTry.merge(type.name(), left, Math::max);
         boolean repeat = repeatsDue >= 1 && left < longest - settings.rules().answerSlack();
         repeatsDue -= repeat ? 1 : 0;
         return repeat;
@@ -465,12 +449,8 @@
 
     // Gives the final answer: a refusal where the rule lets it say that a retry is harmless.
     private void giveUp(Request q) {
-        if (mayRefuse(q)) {
-            Limits limits = settings.limits();
-            sink.accept(new Refuse(q.id, limits.retryAfter() ? limits.maxRetryAfter() : 0));
-        } else {
-            sink.accept(new Fail(q.id));
-        }
+        long advice = q.limits.retryAfter() ? q.limits.maxRetryAfter() : 0;
+        sink.accept(mayRefuse(q) ? new Refuse(q.id, advice) : new Fail(q.id));
         leave(q);
     }
 
@@ -483,7 +463,7 @@
     private void end(Request q) {
         release(q);
         q.over = true;
-        if (settings.limits().cancel()) {
+        if (q.limits.cancel()) {
             q.out.forEach(a -> sink.accept(new Cancel(q.id, a.number)));
         }
         forget(q);
@@ -557,15 +537,11 @@
 
     // Whether the rules let this server have the request's next attempt; no other attempt of it is out.
     private boolean maySend(Request q, Server s) {
-        if (q.attempts >= settings.limits().maxAttempts() || q.once) {
-            return false;
-        }
-        if (q.type.repeat() == Repeat.SAFE || untouched(q)) {
-            return true;
-        }
         Attempt first = q.firstThatMayHaveRun;
-        return q.type.repeat() == Repeat.KEYED && sameGroup(q.type.group(), first.server, s)
+        boolean harmless = q.type.repeat() == Repeat.SAFE || untouched(q)
+            || q.type.repeat() == Repeat.KEYED && sameGroup(q.type.group(), first.server, s)
             && now < first.sentAt + q.type.window();
+        return harmless && !q.once && q.attempts < q.limits.maxAttempts();
     }
 
     private static boolean sameGroup(Group group, Server a, Server b) {
@@ -578,12 +554,24 @@
 
     // ==== The rotation: Per-Function Auto Weighted Round-Robin =======================================
 
+    private int rowOf(Request q) {
+        return rows.of(q.type.name());
+    }
+
+    private int weightsFor(Request q) {
+        return rowLive[rowOf(q)] ? rowOf(q) : rows.shared();
+    }
+
+    // Of a server that has left nothing is kept.
     private void sample(Server s, int row, long elapsed) {
-        s.endWindows(windowsEnded);
-        if (row != sharedRow) {
-            s.rows[row].sample(elapsed);
+        if (s.state != ServerState.GONE) {
+            s.endWindows(windowsEnded);
+            IntStream.of(row, rows.shared()).distinct().forEach(each -> s.rows.get(each).sample(elapsed));
         }
-        s.rows[sharedRow].sample(elapsed);
+    }
+
+    private void layRows(Server s) {
+        s.rows = rows.lay(s.rows, () -> new RowFigures(random.nextDouble() * WEIGHT_TOTAL));
     }
 
     private void endWindow() {
@@ -609,11 +597,13 @@
             Server s = all ? servers.get(k) : ring.at(point);
             if (s.state == ServerState.UP && (all || now >= s.barredUntil) && !subset.contains(s)) {
                 s.endWindows(windowsEnded);
-                s.join(sharedRow + 1, random);
+                if (s.rows.isEmpty()) {
+                    layRows(s);
+                }
                 subset.add(s);
             }
         }
-        for (int row = 0; row <= sharedRow; row++) {
+        for (int row = 0; row <= rows.shared(); row++) {
             weigh(row);
         }
     }
@@ -632,20 +622,20 @@
     private void weigh(int row) {
         double known = 0;
         int samples = 0;
-        int answers = subset.stream().mapToInt(s -> s.rows[row].answers).sum();
+        int answers = subset.stream().mapToInt(s -> s.rows.get(row).answers).sum();
         for (Server s : subset) {
-            known += s.rows[row].mean;
-            samples += s.rows[row].mean > 0 ? 1 : 0;
+            known += s.rows.get(row).mean;
+            samples += s.rows.get(row).mean > 0 ? 1 : 0;
         }
         // A row of a few answers is chance: until it has some of each server, the shared one is borrowed.
         rowLive[row] = answers >= ROW_ANSWERS * subset.size();
         double others = samples > 0 ? known / samples : 1;
         double raw = 0;
         for (Server s : subset) {
-            raw += 1 / s.rows[row].meanOr(others);
+            raw += 1 / s.rows.get(row).meanOr(others);
         }
         for (Server s : subset) {
-            RowFigures figures = s.rows[row];
+            RowFigures figures = s.rows.get(row);
             figures.weight = Math.max(1, (int) (1 / figures.meanOr(others) / raw * WEIGHT_TOTAL));
         }
     }
@@ -669,7 +659,7 @@
                 least = Math.min(least, Math.max(0, behind(s)));
             }
         }
-        int row = rowLive[q.row] ? q.row : sharedRow;
+        int row = weightsFor(q);
         Server best = null;
         double margin = hears ? HEARD_MARGIN : 1;
         for (Server s : subset) {
@@ -686,7 +676,7 @@
     private double turn(Server s, int row, Request q) {
         boolean chance = sounds && s.coldDrawnAt != NEVER && warmth(s, now) < 1;
         // A key's server may go a turn early, no more: the rotation gives each the turns of its weight.
-        return s.rows[row].current + s.rows[row].weight + (chance || s == q.home ? WEIGHT_TOTAL : 0);
+        return s.rows.get(row).current + s.rows.get(row).weight + (chance || s == q.home ? WEIGHT_TOTAL : 0);
     }
 
     // Departure "keys": the server of the subset that a key is brought to, by the largest of their hashes
@@ -704,11 +694,11 @@
         int total = 0;
         for (Server s : subset) {
             if (s.candidate) {
-                s.rows[row].current += s.rows[row].weight;
-                total += s.rows[row].weight;
+                s.rows.get(row).current += s.rows.get(row).weight;
+                total += s.rows.get(row).weight;
             }
         }
-        chosen.rows[row].current -= total;
+        chosen.rows.get(row).current -= total;
     }
 
     // ==== Room: what a server can take within the aim ================================================
@@ -767,10 +757,8 @@
     }
 
     private double crowd(Server s) {
-        if (hears) {
-            return Math.max(s.out.size(), believed(s));
-        }
-        return sounds && known(s) ? Math.max(s.load, s.out.size()) : s.out.size();
+        return hears ? Math.max(s.out.size(), believed(s))
+            : sounds && known(s) ? Math.max(s.load, s.out.size()) : s.out.size();
     }
 
     // Departure "hearsay": where probes are too dear, what an answer said of its server is believed less and
@@ -914,7 +902,7 @@
     }
 
     private void send(Request q, Server s) {
-        takeTurn(s, rowLive[q.row] ? q.row : sharedRow);
+        takeTurn(s, weightsFor(q));
         release(q);
         Attempt a = new Attempt(q, q.attempts++, s, now,
             hears ? Math.max(s.out.size(), believed(s)) : Math.max(s.load, s.out.size()));
@@ -929,9 +917,9 @@
         sentAt = now;
         s.pace.sent(now);
         if (q.attempts == 1) {
-            retries.first(q.row);
+            retries.first(rowOf(q));
         } else if (q.met || q.out.size() > 1) {
-            retries.again(q.row);
+            retries.again(rowOf(q));
         }
         if (warmth(s, now) < 1) {
             s.coldSends.add(now);
@@ -977,7 +965,7 @@
     private void again(Request q, Server failed) {
         q.avoid = failed;
         // What came to no server was no load: where connections fail, the budget would refuse the rest.
-        if ((!doomed(q) || makeLate(q)) && (!q.met || retries.allows(q.row))
+        if ((!doomed(q) || makeLate(q)) && (!q.met || retries.allows(rowOf(q)))
             && subset.stream().anyMatch(s -> s.state == ServerState.UP && maySend(q, s))) {
             hold(q);
         } else {
@@ -992,7 +980,7 @@
             case SERVED -> {
                 // What its server reports, as the design has it, and the node's own where it tells none.
                 double reported = e.report().latencyMicros();
-                sample(s, a.request.row, reported > 0 ? (long) reported : e.elapsed());
+                sample(s, rowOf(a.request), reported > 0 ? (long) reported : e.elapsed());
                 if (e.report().utilization() <= SPARE) {
                     spareTime = blend(spareTime, e.elapsed());
                 }
@@ -1103,7 +1091,7 @@
             freshness.saw(s.report, e.report(), now - s.reportedAt, service);
             s.report = e.report();
             report(s, e.report(), 0);
-            goBlind();
+            sound(sounds && !freshness.stale());
             if (Double.isNaN(e.report().inFlight())) {
                 // Departure "mute reports": with no load told the rotation goes on by the node's own sends.
                 // Taken for unknown, the servers stood idle while all was held and refused.
@@ -1112,25 +1100,25 @@
             }
             answered(s);
             news = crowd(s) < room(s);
-        } else if (e.result() == Result.ERROR) {
-            failed(s);
-        } else if (e.result() == Result.RESET) {
-            broken(s);
-        } else if (e.result() == Result.CONNECT_FAILED) {
-            lose(s);
-        } else if (e.result() != Result.NOT_SENT) {
-            strike(s);
+            return;
+        }
+        switch (e.result()) {
+            case ERROR -> failed(s);
+            case RESET -> broken(s);
+            case CONNECT_FAILED -> lose(s);
+            case NOT_SENT -> { }
+            default -> strike(s);
         }
     }
 
     // Departure "stale loads": asked for again and again they stay as they are. Then it is the rotation, what
     // the node itself has out and what servers turn away that count.
-    private void goBlind() {
-        if (sounds && freshness.stale()) {
-            sounds = false;
-            hears = false;
+    private void sound(boolean may) {
+        if (sounds && !may) {
             ring.forEach(s -> s.load = s.out.size());
         }
+        sounds = may;
+        hears &= settings.reportsLoad() && !sounds;
     }
 
     // Looks for what time alone brings: requests past their use, and servers that have fallen silent.
@@ -1186,8 +1174,8 @@
         Request q = a.request;
         boolean mayRepeat = q.type.repeat() == Repeat.SAFE
             || q.type.repeat() == Repeat.KEYED && now < a.sentAt + q.type.window() / 2;
-        if (!q.over && !q.started && !q.once && mayRepeat && settings.limits().cancel()
-            && q.attempts < settings.limits().maxAttempts() && !doomed(q)) {
+        if (!q.over && !q.started && !q.once && mayRepeat && q.limits.cancel()
+            && q.attempts < q.limits.maxAttempts() && !doomed(q)) {
             sink.accept(new Cancel(q.id, a.number));
         }
     }
@@ -1236,7 +1224,22 @@
         return Math.max(part, Math.min(1, LEAST_SENDS / nodes));
     }
 
-    // ==== The server list ============================================================================
+    // ==== Settings and the server list ===============================================================
+
+    // Settings come in force at one instant. What is learnt of a class stays with its name; what was taken
+    // before keeps what it was taken with, and if its class is gone it goes on by the shared row.
+    private void takeOver(Settings next) {
+        settings = next;
+        double price = next.prices().probe();
+        mostProbes = (int) Math.min(FREE_SUBSET, price > 0 ? PROBE_SPEND / price : FREE_SUBSET);
+        sound(next.limits().probes() && next.reportsLoad() && price * 2 <= PROBE_SPEND && !freshness.stale());
+        List<String> names = next.classes().stream().map(RequestClass::name).toList();
+        longestTry.keySet().retainAll(new LinkedHashSet<>(names));
+        rows.rename(names);
+        rowLive = new boolean[rows.shared() + 1];
+        retries.layOut(rows);
+        ring.first(ring.count()).stream().filter(s -> !s.rows.isEmpty()).forEach(this::layRows);
+    }
 
     private void follow(ServerList list) {
         asksFailed = 0;
--- a/src/main/java/ottergauge/DecisionApi.java
+++ b/src/main/java/ottergauge/DecisionApi.java
@@ -41,7 +41,8 @@
     public record Prices(double probe, double connection) { }
 
     /**
-     * All that a node is told at its start. {@code round}: the least span between two instants at which it
+     * All that a node is told at its start; but for how the list reaches it, all may change while it runs. No
+     * two classes have one name. {@code round}: the least span between two instants at which it
      * hears anything; {@code repeatsMarked}: clients mark their repeats; {@code warmKeys}: a server that
      * served a key lately has less work with it.
      */
@@ -81,6 +82,13 @@
 
     public record ServerList(ListScope scope, List<ListedServer> servers) implements Event { }
 
+    /**
+     * Other settings are in force from this instant on, together with this list. Requests that were taken
+     * before keep the class and the limits that they were taken with; classes of later ones are indices into
+     * the new settings.
+     */
+    public record SettingsChanged(Settings settings, ServerList servers) implements Event { }
+
     /** A list request failed, or the subscription broke. */
     public record ListFailed() implements Event { }
 
--- a/src/main/java/ottergauge/limits/RetryBudget.java
+++ b/src/main/java/ottergauge/limits/RetryBudget.java
@@ -2,6 +2,8 @@
 package ottergauge.limits;
 
 import java.util.Arrays;
+import java.util.List;
+import ottergauge.rows.RowTable;
 
 /**
  * How many further attempts a node makes: a part of its first ones, over all classes and by class. Each first
@@ -20,13 +22,19 @@
     private static final double MOST = 10;
 
     private double tokens = MOST;
-    private final double[] byClass;
+    private double[] byClass;
 
     public RetryBudget(int classes) {
         byClass = new double[classes];
         Arrays.fill(byClass, MOST);
     }
 
+    /** The classes are other ones: each row keeps what it had, a new one begins full. */
+    public void layOut(RowTable rows) {
+        List<Double> before = Arrays.stream(byClass).boxed().toList();
+        byClass = rows.lay(before, () -> MOST).stream().mapToDouble(tokens -> tokens).toArray();
+    }
+
     /** A first attempt has been made. */
     public void first(int requestClass) {
         tokens = Math.min(MOST, tokens + PART);
--- a/src/test/java/ottergauge/ArchitectureTest.java
+++ b/src/test/java/ottergauge/ArchitectureTest.java
@@ -25,25 +25,28 @@
         classes().that(belongToAnyOf(Decide.class, DecisionApi.class))
             .should(onlyDependOnClassesThat(resideInAnyPackage("java.lang..", "java.util",
                 "java.util.function", "java.util.stream", "ottergauge", "ottergauge.limits",
-                "ottergauge.ring")))
+                "ottergauge.ring", "ottergauge.rows")))
             .check(all);
     }
 
     @Test
-    void theRingIsADataStructureOfTheJdkAlone() {
-        classes().that(resideInAnyPackage("ottergauge.ring"))
-            .should(onlyDependOnClassesThat(resideInAnyPackage("java.lang..", "java.util",
-                "java.util.function", "ottergauge.ring")))
-            .check(all);
-        noClasses().that(resideInAnyPackage("ottergauge.ring")).should().dependOnClassesThat()
-            .belongToAnyOf(System.class, Thread.class, java.util.Random.class).check(all);
+    void dataStructuresStandOnTheJdkAlone() {
+        for (String structure : new String[] {"ottergauge.ring", "ottergauge.rows"}) {
+            classes().that(resideInAnyPackage(structure))
+                .should(onlyDependOnClassesThat(resideInAnyPackage("java.lang..", "java.util",
+                    "java.util.function", structure)))
+                .check(all);
+            noClasses().that(resideInAnyPackage(structure)).should().dependOnClassesThat()
+                .belongToAnyOf(System.class, Thread.class, java.util.Random.class).check(all);
+        }
     }
 
     @Test
     void limitsAreNumbersAndNothingElse() {
         classes().that(resideInAnyPackage("ottergauge.limits"))
-            .should(onlyDependOnClassesThat(resideInAnyPackage("java.lang..", "java.util", "ottergauge",
-                "ottergauge.limits")))
+            .should(onlyDependOnClassesThat(resideInAnyPackage("java.lang..", "java.util",
+                "java.util.function", "java.util.stream", "ottergauge", "ottergauge.limits",
+                "ottergauge.rows")))
             .check(all);
         noClasses().that(resideInAnyPackage("ottergauge.limits")).should().dependOnClassesThat()
             .belongToAnyOf(Decide.class, System.class, Thread.class, java.util.Random.class).check(all);
@@ -67,7 +70,8 @@
     @Test
     void theNodesLayersDependOneWay() {
         layeredArchitecture().consideringOnlyDependenciesInAnyPackage("ottergauge..")
-            .layer("decisions").definedBy("ottergauge", "ottergauge.limits..", "ottergauge.ring..")
+            .layer("decisions").definedBy("ottergauge", "ottergauge.limits..", "ottergauge.ring..",
+                "ottergauge.rows..")
             .layer("settings").definedBy("ottergauge.settings..")
             .layer("migration").definedBy("ottergauge.migration..")
             .layer("simhost").definedBy("ottergauge.simhost..")
--- a/src/test/java/ottergauge/History.java
+++ b/src/test/java/ottergauge/History.java
@@ -31,6 +31,7 @@
 import ottergauge.DecisionApi.ServerState;
 import ottergauge.DecisionApi.SetTimer;
 import ottergauge.DecisionApi.Settings;
+import ottergauge.DecisionApi.SettingsChanged;
 import ottergauge.DecisionApi.Subscribe;
 import ottergauge.DecisionApi.TimerFired;
 
@@ -38,6 +39,7 @@
 final class History {
     private static final int SERVERS = 8;
     private static final long SERVICE = 100_000;
+    private static final ServerList NO_CHANGE = new ServerList(ListScope.CHANGES, List.of());
 
     private record Planned(long at, long number, Event event, Attempt attempt) { }
 
@@ -61,14 +63,17 @@
     }
 
     private static final class Request {
+        /** The settings that it was taken with; they hold for it to its end. */
+        final Settings taken;
         final RequestClass type;
         final long giveUpAt;
         final List<Attempt> attempts = new ArrayList<>();
         boolean over;
 
-        Request(RequestClass type, long giveUpAt) {
-            this.type = type;
-            this.giveUpAt = giveUpAt;
+        Request(Settings taken, RequestArrived event) {
+            this.taken = taken;
+            type = taken.classes().get(event.requestClass());
+            giveUpAt = event.giveUpAt();
         }
     }
 
@@ -76,7 +81,11 @@
     int sends;
     int finals;
     int again;
-    private final Settings settings;
+    int settingsChanges;
+    /** The longest time from one arrival to the next. */
+    int mostGap = 60_000;
+    private Settings settings;
+    private final List<Settings> others;
     private final SplittableRandom random;
     private final PriorityQueue<Planned> plan =
         new PriorityQueue<>(Comparator.comparingLong(Planned::at).thenComparingLong(Planned::number));
@@ -89,7 +98,13 @@
     private long nextServer = SERVERS + 1;
 
     History(TestSettings with, long seed) {
+        this(with, seed, List.of());
+    }
+
+    /** At random instants one of the other settings comes in force, alone or with a change of the list. */
+    History(TestSettings with, long seed, List<Settings> others) {
         settings = with.build();
+        this.others = others;
         random = new SplittableRandom(seed);
         node = new Node(settings, seed);
     }
@@ -98,7 +113,7 @@
         take(node.servers(SERVERS));
         long at = node.now;
         for (int i = 0; i < arrivals; i++) {
-            at += random.nextLong(60_000);
+            at += random.nextLong(mostGap);
             int type = random.nextInt(settings.classes().size());
             long left = settings.classes().get(type).deadline() * (random.nextInt(4) == 0 ? 1 : 2) / 2;
             plan(at, new RequestArrived("q" + i, type, at + left,
@@ -109,6 +124,10 @@
             if (random.nextInt(60) == 0) {
                 plan(at, change(at), null);
             }
+            if (!others.isEmpty() && random.nextInt(40) == 0) {
+                Settings other = others.get(random.nextInt(others.size()));
+                plan(at, new SettingsChanged(other, random.nextBoolean() ? change(at) : NO_CHANGE), null);
+            }
             if (settings.discovery() == DecisionApi.Discovery.ON_REQUEST && random.nextInt(300) == 0) {
                 plan(at, new ListFailed(), null);
             }
@@ -119,7 +138,7 @@
         requests.forEach((id, q) -> check(q.over, id + " got no final answer"));
     }
 
-    private Event change(long at) {
+    private ServerList change(long at) {
         long id = 1 + random.nextLong(nextServer - 1);
         ServerState state = switch (random.nextInt(6)) {
             case 0 -> ServerState.DRAINING;
@@ -140,7 +159,7 @@
 
     private void step(Planned next) {
         node.now = next.at;
-        requests.forEach((id, q) -> check(q.over || node.now <= q.giveUpAt + settings.rules().answerSlack(),
+        requests.forEach((id, q) -> check(q.over || node.now <= q.giveUpAt + q.taken.rules().answerSlack(),
             id + " is overdue"));
         Event event = next.event;
         if (event instanceof AttemptEnded e) {
@@ -156,9 +175,17 @@
         } else if (event instanceof ClientGone e && requests.containsKey(e.id())) {
             requests.get(e.id()).over = true;
         } else if (event instanceof RequestArrived e) {
-            requests.put(e.id(), new Request(settings.classes().get(e.requestClass()), e.giveUpAt()));
+            // Planned by the number of a class of the first settings: it is one of those that are in force.
+            RequestArrived arrives = new RequestArrived(e.id(), e.requestClass() % settings.classes().size(),
+                e.giveUpAt(), e.clientRepeat(), e.key());
+            requests.put(e.id(), new Request(settings, arrives));
+            event = arrives;
         } else if (event instanceof ServerList e) {
-            told(e.servers().get(0));
+            e.servers().forEach(this::told);
+        } else if (event instanceof SettingsChanged e) {
+            settings = e.settings();
+            settingsChanges++;
+            e.servers().servers().forEach(this::told);
         }
         take(node.on(event));
     }
@@ -186,10 +213,12 @@
             } else if (action instanceof Fail a) {
                 ended(a.id(), requests.get(a.id()));
             } else if (action instanceof Cancel a) {
+                check(requests.get(a.id()).taken.limits().cancel(), a.id() + " may not be cancelled");
                 Attempt attempt = requests.get(a.id()).attempts.get(a.attempt());
                 plan(node.now + random.nextLong(2_000), outcome(a.id(), attempt, Result.CANCELLED,
                     node.now - attempt.sentAt), attempt);
             } else if (action instanceof Probe a) {
+                check(settings.limits().probes(), "probes are not allowed");
                 Result result = random.nextInt(10) == 0 ? Result.CONNECT_FAILED : Result.SERVED;
                 long wait = random.nextInt(10) == 0 ? 40_000 : 500;
                 plan(node.now + wait, new ProbeEnded(a.server(), result, wait, report()), null);
@@ -210,7 +239,7 @@
 
     private void ended(String id, Request q) {
         check(!q.over, id + " got a second final answer");
-        check(node.now <= q.giveUpAt + settings.rules().answerSlack(), id + " was answered late");
+        check(node.now <= q.giveUpAt + q.taken.rules().answerSlack(), id + " was answered late");
         q.over = true;
         finals++;
     }
@@ -223,7 +252,7 @@
     private void sent(Send send) {
         Request q = requests.get(send.id());
         check(!q.over, send.id() + " was sent after its end");
-        check(q.attempts.size() < settings.limits().maxAttempts(), send.id() + " was sent too often");
+        check(q.attempts.size() < q.taken.limits().maxAttempts(), send.id() + " was sent too often");
         check(q.attempts.stream().noneMatch(a -> a.ended == null), send.id() + " has two attempts out");
         for (Attempt earlier : q.attempts) {
             if (!earlier.mayHaveRun()) {
--- a/src/test/java/ottergauge/Node.java
+++ b/src/test/java/ottergauge/Node.java
@@ -16,6 +16,7 @@
 import ottergauge.DecisionApi.ServerList;
 import ottergauge.DecisionApi.ServerState;
 import ottergauge.DecisionApi.Settings;
+import ottergauge.DecisionApi.SettingsChanged;
 import ottergauge.DecisionApi.TimerFired;
 
 /** Drives one decision module with events; the clock is {@link #now}, in microseconds. */
@@ -23,7 +24,7 @@
     static final long MS = 1000;
     static final LoadReport IDLE = new LoadReport(0, 0, 0, Double.NaN, Double.NaN);
 
-    final Settings settings;
+    Settings settings;
     final Decide decide;
     final List<Action> all = new ArrayList<>();
     long now = 1_000_000;
@@ -59,6 +60,12 @@
         return on(new ServerList(ListScope.FULL, servers));
     }
 
+    /** Other settings come in force, with the list as it is. */
+    List<Action> takeOver(Settings next) {
+        settings = next;
+        return on(new SettingsChanged(next, new ServerList(ListScope.CHANGES, List.of())));
+    }
+
     List<Action> change(long id, ServerState state, long startedAt) {
         return on(new ServerList(ListScope.CHANGES, List.of(server(id, state, startedAt))));
     }
--- /dev/null
+++ b/src/test/java/ottergauge/SettingsChangeTest.java
@@ -0,0 +1,419 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import ottergauge.DecisionApi.Action;
+import ottergauge.DecisionApi.AttemptEnded;
+import ottergauge.DecisionApi.Cancel;
+import ottergauge.DecisionApi.ClientGone;
+import ottergauge.DecisionApi.Fail;
+import ottergauge.DecisionApi.Group;
+import ottergauge.DecisionApi.ListScope;
+import ottergauge.DecisionApi.LoadReport;
+import ottergauge.DecisionApi.Probe;
+import ottergauge.DecisionApi.Refuse;
+import ottergauge.DecisionApi.Repeat;
+import ottergauge.DecisionApi.RequestClass;
+import ottergauge.DecisionApi.Result;
+import ottergauge.DecisionApi.Rules;
+import ottergauge.DecisionApi.Send;
+import ottergauge.DecisionApi.ServerList;
+import ottergauge.DecisionApi.ServerState;
+import ottergauge.DecisionApi.Settings;
+import ottergauge.DecisionApi.SettingsChanged;
+
+/** Settings that come in force while requests are held, are out, or are about to be sent again. */
+class SettingsChangeTest {
+
+    private static final long MS = Node.MS;
+    private static final RequestClass READ = TestSettings.type("read", Repeat.SAFE, Group.ALL, 1);
+    private static final RequestClass GRANT = TestSettings.type("grant", Repeat.UNSAFE, Group.ALL, 1);
+    private static final RequestClass PAY = TestSettings.type("pay", Repeat.KEYED, Group.ALL, 1);
+
+    private final TestSettings settings = new TestSettings();
+    private int lastRequest;
+
+    private Node node(RequestClass... classes) {
+        settings.classes = List.of(classes);
+        return new Node(settings.build());
+    }
+
+    private Settings with(RequestClass... classes) {
+        settings.classes = List.of(classes);
+        return settings.build();
+    }
+
+    private static RequestClass type(String name, Repeat repeat, long aim, long deadline) {
+        return new RequestClass(name, repeat, Group.ALL, aim, deadline, 800_000, 1, 0, false);
+    }
+
+    private static List<Action> arrive(Node node, String id, int requestClass) {
+        return node.arrive(id, requestClass, node.now + node.settings.classes().get(requestClass).deadline(),
+            false);
+    }
+
+    private static Send sent(List<Action> actions) {
+        return Node.only(Send.class, actions);
+    }
+
+    // ---- What was taken before ----------------------------------------------------------------------
+
+    /** With two attempts allowed when it was taken it has a second one, though now there would be none. */
+    @Test
+    void aRequestThatIsOutIsTriedAgainAsOftenAsWhenItWasTaken() {
+        Node node = node(READ);
+        node.servers(3);
+        Send before = sent(arrive(node, "before", 0));
+        settings.maxAttempts = 1;
+        node.takeOver(with(READ));
+        Send after = sent(arrive(node, "after", 0));
+        node.now += MS;
+        sent(node.ended("before", 0, before.server(), Result.CONNECT_FAILED, MS));
+        Node.only(Refuse.class, node.ended("after", 0, after.server(), Result.CONNECT_FAILED, MS));
+    }
+
+    /** Guards against an effect that happens twice: the class that it was taken with says that it may not. */
+    @Test
+    void aRequestKeepsItsClassThoughTheNameNowStandsForAnother() {
+        Node node = node(GRANT);
+        node.servers(3);
+        Send before = sent(arrive(node, "before", 0));
+        node.takeOver(with(TestSettings.type("grant", Repeat.SAFE, Group.ALL, 1)));
+        Send after = sent(arrive(node, "after", 0));
+        node.now += MS;
+        Node.only(Fail.class, node.ended("before", 0, before.server(), Result.RESET, MS));
+        sent(node.ended("after", 0, after.server(), Result.RESET, MS));
+    }
+
+    @Test
+    void aHeldRequestEndsByTheAimThatItWasTakenWith() {
+        Node node = node(type("read", Repeat.SAFE, 1_000_000, 2_000_000));
+        arrive(node, "before", 0);
+        node.takeOver(with(type("read", Repeat.SAFE, 200_000, 2_000_000)));
+        arrive(node, "after", 0);
+        assertEquals("after", Node.only(Refuse.class, node.after(250 * MS)).id());
+        assertEquals("before", Node.only(Refuse.class, node.after(800 * MS)).id());
+    }
+
+    @Test
+    void aRefusalGivesTheAdviceOfTheLimitsThatTheRequestWasTakenWith() {
+        Node node = node(READ);
+        arrive(node, "before", 0);
+        Settings build = with(READ);
+        node.takeOver(new Settings(build.node(), build.nodes(), build.zone(), build.round(),
+            build.discovery(), build.reportsLoad(), build.repeatsMarked(), build.warmKeys(),
+            new DecisionApi.Limits(false, false, true, 5, 900_000), build.rules(), build.prices(),
+            build.classes()));
+        arrive(node, "after", 0);
+        List<Refuse> refused = Node.those(Refuse.class, node.after(1_500 * MS));
+        assertEquals(List.of("before", "after"), refused.stream().map(Refuse::id).toList());
+        assertEquals(List.of(600_000L, 900_000L), refused.stream().map(Refuse::retryAfter).toList());
+    }
+
+    /** Where it may no longer be cancelled a request that was taken when it might still is. */
+    @Test
+    void whetherAnAttemptIsCancelledGoesByTheLimitsThatItsRequestWasTakenWith() {
+        Node node = node(READ);
+        node.servers(3);
+        sent(arrive(node, "before", 0));
+        Settings build = with(READ);
+        node.takeOver(new Settings(build.node(), build.nodes(), build.zone(), build.round(),
+            build.discovery(), build.reportsLoad(), build.repeatsMarked(), build.warmKeys(),
+            new DecisionApi.Limits(false, false, true, 5, 600_000), build.rules(), build.prices(),
+            build.classes()));
+        sent(arrive(node, "after", 0));
+        assertEquals("before", Node.only(Cancel.class, node.on(new ClientGone("before"))).id());
+        assertEquals(List.of(), Node.those(Cancel.class, node.on(new ClientGone("after"))));
+    }
+
+    // ---- Classes that come, go and move -------------------------------------------------------------
+
+    @Test
+    void whatWaitsOfAClassThatIsRemovedIsServedAllTheSame() {
+        Node node = node(READ, GRANT);
+        arrive(node, "held", 1);
+        node.takeOver(with(READ));
+        Send send = sent(node.servers(2));
+        assertEquals("held", send.id());
+        node.now += MS;
+        // What its answer took goes into the shared row, and its failures go by the shared budget.
+        node.ended("held", 0, send.server(), Result.SERVED, MS);
+        arrive(node, "next", 0);
+    }
+
+    @Test
+    void whatIsOutOfAClassThatIsRemovedIsTriedAgain() {
+        Node node = node(READ, PAY);
+        node.servers(3);
+        Send send = sent(arrive(node, "out", 1));
+        node.takeOver(with(READ));
+        node.now += MS;
+        Send again = sent(node.ended("out", 0, send.server(), Result.RESET, MS));
+        node.takeOver(with(GRANT));
+        node.now += MS;
+        node.ended("out", 1, again.server(), Result.SERVED, MS);
+        assertEquals(2, Node.those(Send.class, node.all).size());
+    }
+
+    @Test
+    void aClassIsUsedInTheTurnInWhichItIsAdded() {
+        Node node = node(READ);
+        node.servers(2);
+        node.takeOver(with(GRANT, READ));
+        Send send = sent(arrive(node, "first", 0));
+        node.now += MS;
+        Node.only(Fail.class, node.ended("first", 0, send.server(), Result.RESET, MS));
+    }
+
+    /** By the new settings the server that goes would be warm; it has gone by then. */
+    @Test
+    void settingsAndServersComeInForceAtOneInstant() {
+        settings.nodes = 50_000;
+        Node node = node(READ);
+        node.change(1, ServerState.UP, node.now);
+        assertEquals(List.of(), Node.those(Send.class, arrive(node, "held", 0)));
+        Settings cold = with(READ, GRANT);
+        Settings warm = new Settings(cold.node(), cold.nodes(), cold.zone(), cold.round(), cold.discovery(),
+            cold.reportsLoad(), cold.repeatsMarked(), cold.warmKeys(), cold.limits(),
+            new Rules(5_000, 500_000, 0.2, 0, 3, 1_000_000), cold.prices(), cold.classes());
+        List<Action> actions = node.on(new SettingsChanged(warm, new ServerList(ListScope.CHANGES,
+            List.of(Node.server(1, ServerState.GONE, 0), Node.server(2, ServerState.UP, 0)))));
+        assertEquals(2, sent(actions).server());
+    }
+
+    /** Serves requests of one class, quickly at one server, slowly at the other; how many the first got. */
+    private int turns(Node node, int requestClass, long quickAt, int requests) {
+        int quick = 0;
+        for (int i = 0; i < requests; i++) {
+            String id = "t" + ++lastRequest;
+            long server = sent(arrive(node, id, requestClass)).server();
+            long elapsed = server == quickAt ? 10 * MS : 90 * MS;
+            node.now += elapsed;
+            node.ended(id, 0, server, Result.SERVED, elapsed);
+            quick += server == quickAt ? 1 : 0;
+        }
+        return quick;
+    }
+
+    /** The rows are kept by name: each class goes on to have most of its turns where it is quick. */
+    @Test
+    void aClassKeepsItsWeightsWhereverItStandsAmongTheOthers() {
+        Node node = node(READ, GRANT);
+        node.servers(2);
+        for (int i = 0; i < 200; i++) {
+            turns(node, 0, 1, 1);
+            turns(node, 1, 2, 1);
+        }
+        node.takeOver(with(PAY, GRANT, READ));
+        int reads = turns(node, 2, 1, 20);
+        assertTrue(reads >= 15, "reads at the first server: " + reads);
+        int grants = turns(node, 1, 2, 20);
+        assertTrue(grants >= 15, "grants at the second server: " + grants);
+    }
+
+    /** One that comes again under the name of one that was removed has learnt nothing yet. */
+    @Test
+    void aClassThatComesAgainBeginsAnew() {
+        Node node = node(READ, GRANT);
+        node.servers(2);
+        for (int i = 0; i < 200; i++) {
+            turns(node, 0, 1, 1);
+            turns(node, 1, 2, 1);
+        }
+        node.takeOver(with(READ));
+        node.takeOver(with(READ, GRANT));
+        int quick = turns(node, 1, 2, 10);
+        assertTrue(quick <= 7, "by the shared row: " + quick);
+    }
+
+    /** Lets a class spend all that its budget of further attempts has; true once it has none left. */
+    private boolean spent(Node node, int requestClass) {
+        String id = "s" + ++lastRequest;
+        long server = sent(arrive(node, id, requestClass)).server();
+        List<Action> actions = node.ended(id, 0, server, Result.REJECTED, 0);
+        node.now += 200 * MS;
+        boolean again = !Node.those(Send.class, actions).isEmpty()
+            || !Node.those(Send.class, node.after(0)).isEmpty();
+        node.on(new ClientGone(id));
+        node.on(new AttemptEnded(id, 1, server, Result.CANCELLED, 0, true, LoadReport.NONE));
+        return !again;
+    }
+
+    /** One class spends what it may have, while another one sees to it that all together have enough. */
+    private void spend(Node node, int requestClass, int other) {
+        node.servers(8);
+        while (!spent(node, requestClass)) {
+            turns(node, other, 1, 20);
+        }
+    }
+
+    @Test
+    void aClassKeepsItsBudgetOfFurtherAttemptsWhereverItStands() {
+        Node node = node(READ, PAY);
+        spend(node, 0, 1);
+        node.takeOver(with(PAY, GRANT, READ));
+        assertTrue(spent(node, 2), "it is used up in another place, too");
+        assertTrue(!spent(node, 0), "the budget of all is not");
+    }
+
+    @Test
+    void aClassThatComesAgainHasAWholeBudget() {
+        Node node = node(READ, PAY);
+        spend(node, 0, 1);
+        node.takeOver(with(PAY));
+        node.takeOver(with(READ, PAY));
+        assertTrue(!spent(node, 0), "it begins anew");
+    }
+
+    /** Guards against tables that end: 64 classes have rows of their own, the others share one. */
+    @Test
+    void moreClassesThanThereAreRowsComeAndGo() {
+        RequestClass[] many = IntStream.range(0, 1024)
+            .mapToObj(i -> TestSettings.type("c" + i, Repeat.SAFE, Group.ALL, 1))
+            .toArray(RequestClass[]::new);
+        Node node = node(READ);
+        node.servers(4);
+        arrive(node, "read", 0);
+        node.takeOver(with(many));
+        for (int i : new int[] {0, 63, 64, 1023}) {
+            assertEquals(1, Node.those(Send.class, arrive(node, "m" + i, i)).size());
+        }
+        node.takeOver(with(many[1023], READ, many[64], GRANT));
+        for (Send send : Node.those(Send.class, new ArrayList<>(node.all))) {
+            node.now += MS;
+            node.ended(send.id(), 0, send.server(), Result.SERVED, MS);
+        }
+        assertEquals(1, Node.those(Send.class, arrive(node, "last", 0)).size());
+    }
+
+    // ---- What is in force for servers ---------------------------------------------------------------
+
+    private static Set<Long> used(Node node, int requests) {
+        Set<Long> used = new HashSet<>();
+        for (int i = 0; i < requests; i++) {
+            used.add(node.serve("u" + node.now + "-" + i, MS));
+        }
+        return used;
+    }
+
+    @Test
+    void theSubsetFollowsTheNumberOfNodes() {
+        settings.nodes = 1000;
+        settings.node = 7;
+        Node node = node(READ);
+        node.servers(200);
+        Set<Long> few = used(node, 100);
+        settings.nodes = 1;
+        settings.node = 0;
+        node.takeOver(with(READ));
+        Set<Long> many = used(node, 100);
+        settings.nodes = 1000;
+        settings.node = 7;
+        node.takeOver(with(READ));
+        assertEquals(12, few.size());
+        assertEquals(32, many.size());
+        assertEquals(few, used(node, 100));
+        settings.node = 503;
+        node.takeOver(with(READ));
+        assertNotEquals(few, used(node, 100));
+    }
+
+    /** What one of so many nodes may send to a cold server: its part follows their number at once. */
+    @Test
+    void theColdBudgetFollowsTheNumberOfNodes() {
+        settings.probes = true;
+        settings.nodes = 1;
+        Node alone = node(READ);
+        Node among = node(READ);
+        long sentAlone = toTheColdServer(alone, 1);
+        settings.nodes = 50;
+        long sentAmong = toTheColdServer(among, 50);
+        assertTrue(sentAlone >= 3 && sentAmong <= 1, "alone " + sentAlone + ", among fifty " + sentAmong);
+    }
+
+    private long toTheColdServer(Node node, int nodes) {
+        node.servers(1);
+        for (int i = 0; i < 30; i++) {
+            String id = "w" + ++lastRequest;
+            List<Action> actions = arrive(node, id, 0);
+            actions = Node.those(Probe.class, actions).isEmpty() ? actions : node.probed(1, 0);
+            Send send = sent(actions);
+            node.now += 100 * MS;
+            node.ended(id, 0, send.server(), Result.SERVED, 100 * MS);
+        }
+        settings.nodes = nodes;
+        node.takeOver(with(READ));
+        node.change(1, ServerState.UP, node.now);
+        int before = Node.those(Send.class, node.all).size();
+        for (int i = 0; i < 8; i++) {
+            String id = "c" + ++lastRequest;
+            if (!Node.those(Probe.class, arrive(node, id, 0)).isEmpty()) {
+                node.probed(1, 0);
+            }
+            node.now += 100 * MS;
+            node.ended(id, 0, 1, Result.SERVED, 100 * MS);
+        }
+        return Node.those(Send.class, node.all).size() - before;
+    }
+
+    @Test
+    void probesBeginAndEndWithTheSettingsThatAllowThem() {
+        Node node = node(READ);
+        node.servers(2);
+        long server = sent(arrive(node, "a", 0)).server();
+        node.now += MS;
+        node.ended("a", 0, server, Result.SERVED, MS);
+        settings.probes = true;
+        node.takeOver(with(READ));
+        node.now += 100 * MS;
+        long probed = Node.only(Probe.class, arrive(node, "b", 0)).server();
+        settings.probes = false;
+        // What waits for the probe goes at once, and what the probe brings is taken as it comes.
+        assertEquals("b", sent(node.takeOver(with(READ))).id());
+        node.probed(probed, 3);
+        assertEquals(0, Node.those(Probe.class, arrive(node, "c", 0)).size());
+    }
+
+    /** A change that is taken back leaves no trace: the same as if there had been none. */
+    @Test
+    void aChangeAndItsReverseChangeNothing() {
+        TestSettings first = new TestSettings();
+        first.classes = List.of(READ, PAY, GRANT);
+        TestSettings second = new TestSettings();
+        second.classes = List.of(GRANT, READ, PAY);
+        second.maxAttempts = 1;
+        second.repeatsMarked = false;
+        Node changed = new Node(first.build());
+        Node plain = new Node(first.build());
+        changed.servers(5);
+        plain.servers(5);
+        for (int i = 0; i < 300; i++) {
+            if (i % 7 == 0) {
+                changed.takeOver(second.build());
+                changed.takeOver(first.build());
+            }
+            assertEquals(step(plain, i), step(changed, i), "request " + i);
+        }
+    }
+
+    private static List<Action> step(Node node, int i) {
+        List<Action> actions = new ArrayList<>(arrive(node, "q" + i, i % 3));
+        Result result = i % 11 == 0 ? Result.REJECTED : i % 13 == 0 ? Result.ERROR : Result.SERVED;
+        for (Send send : Node.those(Send.class, actions)) {
+            node.now += (20 + send.server() * 10) * MS;
+            actions.addAll(node.ended(send.id(), 0, send.server(), result, (20 + send.server() * 10) * MS));
+        }
+        // Timers are set anew at each event: what matters is what is sent and answered.
+        actions.removeIf(DecisionApi.SetTimer.class::isInstance);
+        return actions;
+    }
+}
