--- a/src/main/java/ottergauge/Decide.java
+++ b/src/main/java/ottergauge/Decide.java
@@ -194,7 +194,6 @@
         Server(ListedServer entry) {
             id = entry.id();
             this.entry = entry;
-            this.state = entry.state();
         }
 
         // Ends the windows that have ended since it was looked at last: no window's end visits all servers.
@@ -831,9 +830,6 @@
     // ==== Sending ====================================================================================
 
     private void serveHeld() {
-        if (held.isEmpty()) {
-            return;
-        }
         for (Request q : new ArrayList<>(held)) {
             // Nothing told frees a server: what waits for its own sounding need not walk the subset again.
             if (!news && q.sounding != null && q.sounding.probing && !mute(q.sounding)) {
@@ -1086,23 +1082,22 @@
             return;
         }
         s.probing = false;
-        if (e.result() == Result.SERVED) {
-            trips.merge(s.entry.zone(), (double) e.elapsed(), Decide::blend);
-            freshness.saw(s.report, e.report(), now - s.reportedAt, service);
-            s.report = e.report();
-            report(s, e.report(), 0);
-            sound(sounds && !freshness.stale());
-            if (Double.isNaN(e.report().inFlight())) {
-                // Departure "mute reports": with no load told the rotation goes on by the node's own sends.
-                // Taken for unknown, the servers stood idle while all was held and refused.
-                s.load = s.out.size();
-                s.reportedAt = now;
-            }
-            answered(s);
-            news = crowd(s) < room(s);
-            return;
-        }
         switch (e.result()) {
+            case SERVED -> {
+                trips.merge(s.entry.zone(), (double) e.elapsed(), Decide::blend);
+                freshness.saw(s.report, e.report(), now - s.reportedAt, service);
+                s.report = e.report();
+                report(s, e.report(), 0);
+                sound(sounds && !freshness.stale());
+                if (Double.isNaN(e.report().inFlight())) {
+                    // Departure "mute reports": with no load told the rotation goes on by the node's own
+                    // sends. Taken for unknown, the servers stood idle while all was held and refused.
+                    s.load = s.out.size();
+                    s.reportedAt = now;
+                }
+                answered(s);
+                news = crowd(s) < room(s);
+            }
             case ERROR -> failed(s);
             case RESET -> broken(s);
             case CONNECT_FAILED -> lose(s);
@@ -1254,6 +1249,10 @@
                 // By the size as it was first told: a weight that follows the load would move all others.
                 ring.put(s.id, Math.max(0.01, e.nominal()), s);
             }
+            if (e.zone() != s.entry.zone()) {
+                // Zones are numbered anew.
+                trips.clear();
+            }
             if (!known || e.startedAt() > s.entry.startedAt()) {
                 s.coldSince = Math.max(s.coldSince, e.startedAt() > 0 ? e.startedAt() : NEVER);
                 s.coldDrawnAt = NEVER;
--- a/src/main/java/ottergauge/protocol/NodeConfig.java
+++ b/src/main/java/ottergauge/protocol/NodeConfig.java
@@ -60,29 +60,22 @@
         if (!(tree.get("settings") instanceof Map<?, ?> map)) {
             throw new ProtocolException("the configuration has no settings");
         }
-        Map<String, Object> settings = new LinkedHashMap<>((Map<String, Object>) map);
-        String fault = SettingsReader.fault(settings);
-        if (fault != null) {
-            throw new ProtocolException("settings: " + fault);
-        }
-        // Discovery over sockets only answers: a node that waited to be told would never learn of a server.
-        settings.put("registryMode", "on_request");
+        NodeSettings settings = NodeSettings.of((Map<String, Object>) map);
         SettingsReader root = new SettingsReader(tree);
-        SettingsReader limits = new SettingsReader(settings).child("ceilings");
-        Settings read = SettingsReader.settings(settings);
-        if (read.classes().isEmpty()) {
-            throw new ProtocolException("the settings name no classes");
-        }
         return new NodeConfig(root.text("name", "node"), Address.parse(root.text("listen", null)),
             Address.parse(root.text("discovery", null)), seed(root.text("seed", "0")),
-            (int) root.child("limits").number("sockets", 1024), known, read,
-            SettingsReader.names(settings, "zones"), SettingsReader.names(settings, "kinds"),
-            limits.micros("connectTimeoutMs", 1000), limits.micros("connIdleMs", 15_000),
-            new SettingsReader(settings).child("rules").micros("mustAskInMs", 10_000),
+            (int) root.child("limits").number("sockets", 1024), known, settings.decisions(),
+            settings.zones(), settings.kinds(), settings.connectTimeout(), settings.connectionIdle(),
+            settings.askWithin(),
             tree.get("management") == null ? null : Address.parse(root.text("management", null)),
             (int) root.child("limits").number("memory_mb", 128));
     }
 
+    /** What of it may be replaced while the node runs. */
+    public NodeSettings nodeSettings() {
+        return new NodeSettings(settings, zones, kinds, connectTimeout, connectionIdle, askWithin);
+    }
+
     /** The largest list of servers, in bytes, that the node reads: it follows from the memory limit. */
     public int mostListBytes() {
         return (int) Math.min(Integer.MAX_VALUE / 2, Math.max(1L, memoryMb / LIST_PART) * BYTES_A_MB);
--- a/src/main/java/ottergauge/routing/CloseReason.java
+++ b/src/main/java/ottergauge/routing/CloseReason.java
@@ -21,6 +21,8 @@
     NOT_REUSABLE,
     /** Its server drains, is gone, or has moved. */
     DELISTED,
+    /** A call to discovery: the list comes from the log of changes from now on. */
+    DISCOVERY_LEFT,
     /** What came on it is no request or answer. */
     MALFORMED,
     /** An answer on it is larger than the node takes. */
--- a/src/main/java/ottergauge/routing/ConnectPatience.java
+++ b/src/main/java/ottergauge/routing/ConnectPatience.java
@@ -17,7 +17,7 @@
     // With so many given up and none made the usual time may have grown: the patience doubles.
     private static final int GIVEN_UP_IN_A_ROW = 8;
 
-    private final long most;
+    private long most;
     private double mean;
     private double deviation;
     private int givenUp;
@@ -26,6 +26,11 @@
         this.most = most;
     }
 
+    /** The longest that settings allow for from now on. */
+    void atMost(long longest) {
+        most = longest;
+    }
+
     void connected(long took) {
         givenUp = 0;
         if (mean == 0) {
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -2,11 +2,14 @@
 package ottergauge.routing;
 
 import java.util.Map;
+import java.util.Optional;
 import ottergauge.DecisionApi.LoadReport;
 import ottergauge.protocol.Content;
 import ottergauge.protocol.HostList;
 import ottergauge.protocol.NodeConfig;
+import ottergauge.protocol.NodeSettings;
 import ottergauge.protocol.RequestFields;
+import ottergauge.resources.LogPosition;
 
 /** Something that happened at the node's edge. Connections are known by the numbers given to them. */
 public sealed interface Event {
@@ -80,6 +83,13 @@
     /** A call was answered by a list that is too large, or no list: the one before stays in force. */
     record ListNotTaken(long call) implements Event { }
 
+    /**
+     * What all nodes share has reached this version: a change of the list, or a whole one, and other
+     * settings, if they have changed. It comes in force at one instant.
+     */
+    record StateChanged(HostList servers, Optional<NodeSettings> settings, LogPosition version)
+        implements Event { }
+
     /** The node has been given a new configuration. */
     record Reconfigured(NodeConfig config) implements Event { }
 
--- a/src/main/java/ottergauge/routing/Exchange.java
+++ b/src/main/java/ottergauge/routing/Exchange.java
@@ -3,13 +3,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import ottergauge.DecisionApi.RequestClass;
 import ottergauge.routing.Event.ClientRequest;
 
 /** A request that the node has taken, until it is answered and none of its attempts is out. */
 final class Exchange {
     final String id;
     final long client;
-    final int requestClass;
+    /** The class that it was taken with, whatever its name stands for later. */
+    final RequestClass type;
     final ClientRequest request;
     /** How long the client waits from the last byte of its request. */
     final long waits;
@@ -24,11 +26,11 @@
     int attempts;
     boolean over;
 
-    Exchange(String id, long client, int requestClass, ClientRequest request, long giveUpAt, long waits,
+    Exchange(String id, long client, RequestClass type, ClientRequest request, long giveUpAt, long waits,
              boolean flows) {
         this.id = id;
         this.client = client;
-        this.requestClass = requestClass;
+        this.type = type;
         this.request = request;
         this.giveUpAt = giveUpAt;
         this.waits = waits;
--- a/src/main/java/ottergauge/routing/Figures.java
+++ b/src/main/java/ottergauge/routing/Figures.java
@@ -1,43 +1,70 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.routing;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import ottergauge.DecisionApi.RequestClass;
+import ottergauge.resources.LogPosition;
 
-/** Counts since the start of the process. Each request that was taken ends under one count at the most. */
+/**
+ * Counts since the start of the process. Each request that was taken ends under one count at the most. A
+ * class keeps its counts for as long as the settings name it; what ends after that is no longer pending, and
+ * else not counted.
+ */
 final class Figures {
 
-    private final List<RequestClass> classes;
-    private final long[] completed;
-    private final long[] rejected;
-    private final long[] failed;
+    private static final class Counts {
+        long completed;
+        long rejected;
+        long failed;
+    }
+
+    private Map<String, Counts> byClass = new LinkedHashMap<>();
     private long upstreamRequests;
     private long pending;
+    private Optional<LogPosition> version = Optional.empty();
 
     Figures(List<RequestClass> classes) {
-        this.classes = classes;
-        completed = new long[classes.size()];
-        rejected = new long[classes.size()];
-        failed = new long[classes.size()];
+        takeOver(classes);
+    }
+
+    /** These classes are in force from now on. */
+    void takeOver(List<RequestClass> classes) {
+        Map<String, Counts> before = byClass;
+        byClass = new LinkedHashMap<>();
+        for (RequestClass type : classes) {
+            byClass.put(type.name(), before.getOrDefault(type.name(), new Counts()));
+        }
+    }
+
+    /** What all nodes share has reached this version here. */
+    void reached(LogPosition position) {
+        version = Optional.of(position);
     }
 
     void taken() {
         pending++;
     }
 
-    void completed(int requestClass) {
+    void completed(RequestClass type) {
         pending--;
-        completed[requestClass]++;
+        counts(type).completed++;
     }
 
-    void rejected(int requestClass) {
+    void rejected(RequestClass type) {
         pending--;
-        rejected[requestClass]++;
+        counts(type).rejected++;
     }
 
-    void failed(int requestClass) {
+    void failed(RequestClass type) {
         pending--;
-        failed[requestClass]++;
+        counts(type).failed++;
+    }
+
+    private Counts counts(RequestClass type) {
+        return byClass.getOrDefault(type.name(), new Counts());
     }
 
     /** Its client has left: whatever became of it reached nobody. */
@@ -52,13 +79,14 @@
 
     String text(int members, int unavailable) {
         StringBuilder text = new StringBuilder();
-        for (int i = 0; i < classes.size(); i++) {
-            line(text, "completed." + classes.get(i).name(), completed[i]);
-            line(text, "rejected." + classes.get(i).name(), rejected[i]);
-            line(text, "failed." + classes.get(i).name(), failed[i]);
-        }
+        byClass.forEach((name, counts) -> {
+            line(text, "completed." + name, counts.completed);
+            line(text, "rejected." + name, counts.rejected);
+            line(text, "failed." + name, counts.failed);
+        });
         line(text, "upstream_requests", upstreamRequests);
         line(text, "pending", pending);
+        version.ifPresent(position -> line(text, "state_version", position.version()));
         line(text, "members", members);
         line(text, "members_unavailable", unavailable);
         return text.toString();
--- /dev/null
+++ b/src/main/java/ottergauge/routing/ListInForce.java
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import ottergauge.DecisionApi;
+import ottergauge.DecisionApi.ListScope;
+import ottergauge.DecisionApi.ServerList;
+import ottergauge.DecisionApi.SettingsChanged;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.NodeConfig;
+import ottergauge.protocol.NodeSettings;
+import ottergauge.routing.Effect.KeepList;
+
+/**
+ * The list of servers in force: discovery, the log of changes and operators tell what changes of it, and the
+ * connections to servers and the decisions follow. Settings pass through here on their way to the decisions,
+ * since they come in force together with the list.
+ */
+final class ListInForce {
+
+    private final Watch watch;
+    private final Roster roster;
+    private final Upstreams upstreams;
+    private final boolean keeps;
+    private final Consumer<DecisionApi.Event> learn;
+    private final Consumer<Job> withdraw;
+    private final Consumer<Effect> effects;
+    private ServerLists lists;
+
+    /**
+     * {@code learn} takes what the decisions have to know, {@code withdraw} the jobs that waited for a server
+     * which takes nothing new any more: after the list, or the decisions would choose that server again.
+     */
+    ListInForce(NodeConfig config, Upstreams upstreams, Consumer<DecisionApi.Event> learn,
+                Consumer<Job> withdraw, Consumer<Effect> effects) {
+        this.upstreams = upstreams;
+        this.learn = learn;
+        this.withdraw = withdraw;
+        this.effects = effects;
+        // Only a node with a door has processes that follow each other.
+        keeps = config.management() != null;
+        watch = new Watch(config, effects);
+        roster = new Roster(config.settings().rules().coldFor());
+        lists = new ServerLists(config.nodeSettings());
+    }
+
+    Watch watch() {
+        return watch;
+    }
+
+    Roster roster() {
+        return roster;
+    }
+
+    /** Begins with the list that the node had last. */
+    void start(long now, HostList known) {
+        HostList list = roster.follow(now, known);
+        upstreams.follow(list);
+        learn.accept(lists.list(list, ListScope.LAST_KNOWN));
+    }
+
+    /** Discovery has answered a call. */
+    void read(long now, long call, HostList told) {
+        if (!watch.takes(call, told)) {
+            watch.passOver(now, call, told);
+            return;
+        }
+        HostList list = roster.follow(now, told);
+        List<Job> withdrawn = upstreams.follow(list);
+        watch.read(now, call, list).ifPresent(scope -> {
+            learn.accept(lists.list(list, scope));
+            keep();
+        });
+        withdrawn.forEach(withdraw);
+    }
+
+    /** A hand changes the list as discovery does. */
+    void changedByHand(HostList changes) {
+        if (!changes.hosts().isEmpty()) {
+            List<Job> withdrawn = upstreams.follow(changes);
+            learn.accept(lists.list(changes, ListScope.CHANGES));
+            withdrawn.forEach(withdraw);
+            keep();
+        }
+    }
+
+    /** Other settings come in force, the list stays. */
+    void takeOver(long now, NodeSettings settings) {
+        takeOver(now, new HostList(roster.seq(), false, List.of()), Optional.of(settings));
+    }
+
+    /** A change of the list, or a whole one, comes in force, together with other settings if there are. */
+    void takeOver(long now, HostList told, Optional<NodeSettings> settings) {
+        HostList list = roster.follow(now, told);
+        List<Job> withdrawn = upstreams.follow(list);
+        ServerList change = lists.list(list, list.whole() ? ListScope.FULL : ListScope.CHANGES);
+        if (settings.isPresent()) {
+            learn.accept(new SettingsChanged(settings.get().decisions(), renumber(settings.get(), change)));
+        } else {
+            learn.accept(change);
+        }
+        withdrawn.forEach(withdraw);
+        if (list.whole() || !list.hosts().isEmpty()) {
+            keep();
+        }
+    }
+
+    // Under other numbers of zones or kinds all servers are told anew.
+    private ServerList renumber(NodeSettings settings, ServerList change) {
+        roster.coldFor(settings.decisions().rules().coldFor());
+        watch.askWithin(settings.askWithin());
+        if (lists.numberLike(settings)) {
+            return change;
+        }
+        lists = new ServerLists(settings);
+        return lists.list(roster.inForce(), ListScope.FULL);
+    }
+
+    private void keep() {
+        if (keeps) {
+            effects.accept(new KeepList(roster.whole()));
+        }
+    }
+}
--- a/src/main/java/ottergauge/routing/Roster.java
+++ b/src/main/java/ottergauge/routing/Roster.java
@@ -23,7 +23,7 @@
 
     private record Back(long outSince, long backAt) { }
 
-    private final long coldFor;
+    private long coldFor;
     private final Map<String, Host> listed = new LinkedHashMap<>();
     /** By name, since when: in the order of names, so that all is told in one order. */
     private final Map<String, Long> held = new TreeMap<>();
@@ -34,7 +34,17 @@
         this.coldFor = coldFor;
     }
 
-    /** Takes what discovery tells and gives back what counts. */
+    /** So long a server counts as cold from now on. */
+    void coldFor(long span) {
+        coldFor = span;
+    }
+
+    /** The version of what was told last. */
+    long seq() {
+        return seq;
+    }
+
+    /** Takes what is told of the list and gives back what counts. */
     HostList follow(long now, HostList told) {
         back.values().removeIf(each -> now - each.backAt >= coldFor);
         seq = told.seq();
@@ -118,6 +128,11 @@
         return new HostList(seq, false, List.of());
     }
 
+    /** The whole list as it counts. */
+    HostList inForce() {
+        return new HostList(seq, true, listed.values().stream().map(this::overlaid).toList());
+    }
+
     /** The whole list for a process that comes after; what is held out is kept apart from it. */
     HostList whole() {
         return new HostList(seq, true, listed.values().stream().map(this::born).toList());
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -16,6 +16,7 @@
 import ottergauge.DecisionApi.BodyPassed;
 import ottergauge.DecisionApi.BodyPassing;
 import ottergauge.DecisionApi.ClientGone;
+import ottergauge.DecisionApi.Limits;
 import ottergauge.DecisionApi.LoadReport;
 import ottergauge.DecisionApi.ProbeEnded;
 import ottergauge.DecisionApi.RequestArrived;
@@ -25,12 +26,13 @@
 import ottergauge.protocol.Content;
 import ottergauge.protocol.HostList;
 import ottergauge.protocol.NodeConfig;
+import ottergauge.protocol.NodeSettings;
 import ottergauge.protocol.Outcomes;
 import ottergauge.protocol.RequestFields;
+import ottergauge.resources.LogPosition;
 import ottergauge.routing.Effect.AcceptUpTo;
 import ottergauge.routing.Effect.Exit;
 import ottergauge.routing.Effect.FlowNow;
-import ottergauge.routing.Effect.KeepList;
 import ottergauge.routing.Effect.StartTimer;
 import ottergauge.routing.Effect.StopAccepting;
 import ottergauge.routing.Event.AnswerRead;
@@ -81,11 +83,9 @@
     private final Consumer<Effect> effects;
     private final Clients clients;
     private final Upstreams upstreams;
-    private final Watch watch;
-    private final Roster roster;
+    private final ListInForce list;
     private final Figures figures;
     private final Operators operators;
-    private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final Map<String, Exchange> byTraceId = new HashMap<>();
     private final Map<Long, Job> jobs = new HashMap<>();
@@ -93,6 +93,9 @@
     private final Set<Exchange> flowing = new HashSet<>();
     private final Deque<DecisionApi.Event> learnt = new ArrayDeque<>();
     private final Deque<DecisionApi.Action> decided = new ArrayDeque<>();
+    private NodeSettings settings;
+    private RequestClasses classes;
+    private Optional<LogPosition> version = Optional.empty();
     private int descriptors;
     private boolean accompanied;
     private int othersConnections;
@@ -111,24 +114,20 @@
         this.config = config;
         this.effects = effects;
         decide = new Decide(config.settings(), config.seed());
-        for (RequestClass type : config.settings().classes()) {
-            classes.put(type.name(), classes.size());
-        }
+        settings = config.nodeSettings();
+        classes = new RequestClasses(config.settings().classes());
         clients = new Clients(effects);
         upstreams = new Upstreams(config.connectTimeout(), config.connectionIdle(), effects, this::carried);
-        watch = new Watch(config, effects);
-        roster = new Roster(config.settings().rules().coldFor());
+        list = new ListInForce(config, upstreams, learnt::add, job -> ended(job, Result.NOT_SENT), effects);
         figures = new Figures(config.settings().classes());
-        operators = new Operators(figures, roster, name -> decide.standing(now, ServerIds.of(name)),
-            this::follow, effects);
+        operators = new Operators(figures, list.roster(), name -> decide.standing(now, ServerIds.of(name)),
+            this::changeByHand, effects);
     }
 
     /** Begins with the list that the node had last. */
     public void start(long at) {
         now = at;
-        HostList known = roster.follow(now, config.known());
-        upstreams.follow(known);
-        learnt.add(watch.lastKnown(known));
+        list.start(now, config.known());
         effects.accept(new StartTimer(SWEEP_EVERY, new Timer.Sweep()));
         limitSockets(config.sockets());
         decideAll();
@@ -181,14 +180,15 @@
         } else if (event instanceof Event.ServerClosed e) {
             upstreams.closed(e.connection()).ifPresent(job -> serverClosed(job, e.spoilt()));
         } else if (event instanceof Event.ListRead e) {
-            listRead(e);
+            list.read(now, e.call(), e.list());
         } else if (event instanceof Event.ListCallFailed e) {
-            watch.failed(now, e.call());
+            list.watch().failed(now, e.call());
         } else if (event instanceof Event.ListNotTaken e) {
-            watch.notTaken(now, e.call());
+            list.watch().notTaken(now, e.call());
         } else if (event instanceof Event.Reconfigured e) {
-            limitSockets(e.config().sockets());
-            watch.move(now, e.config().discovery());
+            reconfigure(e.config());
+        } else if (event instanceof Event.StateChanged e) {
+            changeState(e);
         } else if (event instanceof Event.HealthAsked e) {
             boolean ready = serving && !stopping;
             clients.respond(now, e.client(), e.readiness() && !ready ? UNAVAILABLE : OK, 0, Content.NONE,
@@ -216,13 +216,13 @@
 
     private void requestRead(long client, ClientRequest request, long waited, boolean flows) {
         RequestFields fields = request.fields();
-        Integer requestClass = classes.get(fields.requestClass());
-        if (requestClass == null) {
+        RequestClasses.Numbered numbered = classes.named(fields.requestClass()).orElse(null);
+        if (numbered == null) {
             clients.reject(now, client, BAD_REQUEST, "unknown class " + fields.requestClass());
             return;
         }
-        if (flows && config.settings().classes().get(requestClass).repeat() == Repeat.SAFE
-            || !fits(request, config.settings().classes().get(requestClass).repeat())) {
+        RequestClass type = numbered.type();
+        if (flows && type.repeat() == Repeat.SAFE || !fits(request, type.repeat())) {
             clients.reject(now, client, BAD_REQUEST, "method, key or body are not the class's");
             return;
         }
@@ -233,12 +233,12 @@
         }
         long wait = fields.expiresInMs() * 1000;
         if (wait < 0) {
-            wait = config.settings().classes().get(requestClass).deadline();
+            wait = type.deadline();
         }
         // The client's time runs from the last byte of its request, read late or not.
         long giveUpAt = Math.min(lastAnswer, now - waited + wait);
-        Exchange exchange = new Exchange(Long.toString(++lastExchange), client, requestClass, request,
-            giveUpAt, wait, flows);
+        Exchange exchange = new Exchange(Long.toString(++lastExchange), client, type, request, giveUpAt, wait,
+            flows);
         exchanges.put(exchange.id, exchange);
         byTraceId.put(fields.traceId(), exchange);
         clients.took(client, exchange);
@@ -247,12 +247,12 @@
         } else if (flowing.size() < mostFlows() * REQUESTS_PART) {
             flowing.add(exchange);
         } else {
-            answer(exchange.id, UNAVAILABLE, config.settings().limits().retryAfter()
-                ? config.settings().limits().maxRetryAfter() : 0, Content.NONE);
+            Limits limits = settings.decisions().limits();
+            answer(exchange.id, UNAVAILABLE, limits.retryAfter() ? limits.maxRetryAfter() : 0, Content.NONE);
             return;
         }
-        learnt.add(new RequestArrived(exchange.id, requestClass, giveUpAt,
-            fields.secondTry(), key(request)));
+        learnt.add(new RequestArrived(exchange.id, numbered.number(), giveUpAt, fields.secondTry(),
+            key(request)));
     }
 
     private void unreadable(Event.RequestUnreadable e) {
@@ -263,7 +263,7 @@
         }
         // More came behind a request that is open: which answer is whose is not known any more.
         count(exchange);
-        figures.failed(exchange.requestClass);
+        figures.failed(exchange.type);
         if (exchange.passing != null) {
             upstreams.giveUp(now, exchange.passing, CloseReason.CLIENT_GONE);
             passed(exchange);
@@ -364,7 +364,7 @@
     private void answerEnded(long connection, boolean reusable) {
         upstreams.answered(now, connection, reusable).ifPresent(job -> {
             passed(job.exchange);
-            figures.completed(job.exchange.requestClass);
+            figures.completed(job.exchange.type);
             clients.passedOn(now, job.exchange.client);
         });
     }
@@ -380,7 +380,7 @@
             return;
         }
         passed(job.exchange);
-        figures.failed(job.exchange.requestClass);
+        figures.failed(job.exchange.type);
         clients.cutShort(job.exchange.client);
     }
 
@@ -404,9 +404,9 @@
         if (exchange != null && !exchange.over) {
             count(exchange);
             switch (status) {
-                case OK -> figures.completed(exchange.requestClass);
-                case UNAVAILABLE -> figures.rejected(exchange.requestClass);
-                default -> figures.failed(exchange.requestClass);
+                case OK -> figures.completed(exchange.type);
+                case UNAVAILABLE -> figures.rejected(exchange.type);
+                default -> figures.failed(exchange.type);
             }
             over(exchange);
             clients.respond(now, exchange.client, status, retryAfter, content, false);
@@ -453,14 +453,14 @@
             return;
         }
         // The settings name no time for a probe; what a connection may take is long for so small an answer.
-        start(new Job(++lastJob, null, 0, action.server(), now, now + config.connectTimeout()));
+        start(new Job(++lastJob, null, 0, action.server(), now, now + settings.connectTimeout()));
     }
 
     // The one guard before the first byte of anything that goes to a server, whatever it is and however long
     // ago it was chosen: what fails it goes back to the decisions.
     private void begin(Job job) {
         // A request that is over has no attempt left that has not begun.
-        boolean wanted = job.isProbe() || !watch.stale(now)
+        boolean wanted = job.isProbe() || !list.watch().stale(now)
             && decide.mayBegin(now, job.exchange.id, job.attempt);
         if (wanted && now < job.dueAt && upstreams.mayCarry(job)) {
             upstreams.begin(now, job);
@@ -600,39 +600,49 @@
         return true;
     }
 
-    // ---- Discovery ----------------------------------------------------------------------------------
+    // ---- List and settings --------------------------------------------------------------------------
 
-    private void listRead(Event.ListRead e) {
-        if (!watch.takes(e.call(), e.list())) {
-            watch.passOver(now, e.call(), e.list());
-            return;
-        }
-        HostList list = roster.follow(now, e.list());
-        List<Job> withdrawn = upstreams.follow(list);
-        // The list first: told only of a withdrawn attempt, the module would send it to the same server.
-        watch.read(now, e.call(), list).ifPresent(news -> {
-            learnt.add(news);
-            keepList();
-        });
-        withdrawn.forEach(job -> ended(job, Result.NOT_SENT));
+    // What follows from what a hand changes happens at once.
+    private void changeByHand(HostList changes) {
+        list.changedByHand(changes);
+        decideAll();
     }
 
-    // Only a node with a door has processes that follow each other.
-    private void keepList() {
-        if (config.management() != null) {
-            effects.accept(new KeepList(roster.whole()));
+    // Once the settings come from the log of changes, those of the file do not count any more.
+    private void reconfigure(NodeConfig next) {
+        limitSockets(next.sockets());
+        list.watch().move(now, next.discovery());
+        if (version.isEmpty() && !next.nodeSettings().equals(settings)) {
+            list.takeOver(now, takeOver(next.nodeSettings()));
         }
     }
 
-    // A hand changes the list as discovery does, and what follows from it happens at once.
-    private void follow(HostList changes) {
-        if (!changes.hosts().isEmpty()) {
-            List<Job> withdrawn = upstreams.follow(changes);
-            learnt.add(watch.changed(changes));
-            withdrawn.forEach(job -> ended(job, Result.NOT_SENT));
-            decideAll();
-            keepList();
-        }
+    private void changeState(Event.StateChanged change) {
+        version = Optional.of(change.version());
+        figures.reached(change.version());
+        list.watch().end();
+        // Settings that all nodes share do not tell which of them this one is.
+        int node = config.settings().node();
+        list.takeOver(now, change.servers(), change.settings().map(next -> takeOver(next.forNode(node))));
+    }
+
+    // From here on: what was taken before has its class, its time and its limits with it.
+    private NodeSettings takeOver(NodeSettings next) {
+        settings = next;
+        classes = new RequestClasses(next.decisions().classes());
+        figures.takeOver(next.decisions().classes());
+        upstreams.limit(next.connectTimeout(), next.connectionIdle());
+        return next;
+    }
+
+    /** The settings in force. */
+    public NodeSettings settings() {
+        return settings;
+    }
+
+    /** The version of what all nodes share that is in force here; none unless it comes from the log. */
+    public Optional<LogPosition> version() {
+        return version;
     }
 
     // ---- Time and the end ---------------------------------------------------------------------------
@@ -647,9 +657,9 @@
         } else if (timer instanceof Timer.FlowDue due) {
             flowDue(due.job());
         } else if (timer instanceof Timer.CallDue due) {
-            watch.due(now, due.call());
+            list.watch().due(now, due.call());
         } else if (timer instanceof Timer.NextCall next) {
-            watch.resume(now, next.after());
+            list.watch().resume(now, next.after());
         } else if (timer instanceof Timer.FrontQuiet) {
             frontQuiet = true;
             clients.closeIdle(CloseReason.STOPPING);
@@ -672,8 +682,7 @@
                 // No connection comes any more. Those that are open end with their next answer: closed while
                 // they are idle, some would be closed in the face of a request.
                 effects.accept(new StopAccepting());
-                long longest = config.settings().classes().stream().mapToLong(RequestClass::deadline).max()
-                    .orElse(0);
+                long longest = classes.longestDeadline();
                 lastAnswer = now + longest + ANSWERED_AFTER;
                 effects.accept(new StartTimer(longest + ANSWERED_AFTER - Math.min(LAST_REQUEST, longest),
                     new Timer.FrontQuiet()));
@@ -715,7 +724,7 @@
         } else if (action instanceof DecisionApi.Fail a) {
             answer(a.id(), BAD_GATEWAY, 0, Content.NONE);
         } else if (action instanceof DecisionApi.Subscribe) {
-            watch.begin(now);
+            list.watch().begin(now);
         }
     }
 }
--- a/src/main/java/ottergauge/routing/Upstreams.java
+++ b/src/main/java/ottergauge/routing/Upstreams.java
@@ -38,8 +38,8 @@
     private static final int MOST_LATE = 2;
 
     private final ConnectPatience patience;
-    private final long connectTimeout;
-    private final long idleFor;
+    private long connectTimeout;
+    private long idleFor;
     private final Consumer<Effect> effects;
     private final Consumer<Job> carried;
     private final Map<Long, Upstream> byServer = new HashMap<>();
@@ -52,9 +52,15 @@
     Upstreams(long connectTimeout, long serverIdle, Consumer<Effect> effects, Consumer<Job> carried) {
         this.carried = carried;
         patience = new ConnectPatience(connectTimeout);
-        this.connectTimeout = connectTimeout;
-        this.idleFor = (long) (serverIdle * IDLE_PART);
         this.effects = effects;
+        limit(connectTimeout, serverIdle);
+    }
+
+    /** How long a connection may take to come up, and after which time servers close idle ones. */
+    void limit(long longestConnect, long serverIdle) {
+        connectTimeout = longestConnect;
+        idleFor = (long) (serverIdle * IDLE_PART);
+        patience.atMost(longestConnect);
     }
 
     int open() {
--- a/src/main/java/ottergauge/routing/Watch.java
+++ b/src/main/java/ottergauge/routing/Watch.java
@@ -4,10 +4,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import ottergauge.DecisionApi;
 import ottergauge.DecisionApi.ListScope;
-import ottergauge.DecisionApi.ListedServer;
-import ottergauge.DecisionApi.ServerList;
 import ottergauge.protocol.Address;
 import ottergauge.protocol.HostList;
 import ottergauge.protocol.NodeConfig;
@@ -36,10 +33,9 @@
     private static final long NO_VERSION = -1;
     private static final long NONE = 0;
 
-    private final NodeConfig config;
     private final Consumer<Effect> effects;
     private final SplittableRandom random;
-    private final ListDeadline deadline;
+    private ListDeadline deadline;
     private Address address;
     private long seq;
     private long lastCall;
@@ -55,11 +51,12 @@
     private int failures;
     /** How many lists in a row could not be taken. */
     private int notTaken;
+    /** Another source than discovery tells of the list. */
+    private boolean ended;
     /** When the newest list was in hand. */
     private long heardAt = Long.MAX_VALUE;
 
     Watch(NodeConfig config, Consumer<Effect> effects) {
-        this.config = config;
         this.effects = effects;
         random = new SplittableRandom(~config.seed());
         deadline = ListDeadline.of(config.askWithin());
@@ -77,18 +74,37 @@
 
     /** Begins a watch: the decisions ask for one at the start. */
     void begin(long now) {
-        heardAt = now;
-        if (current == NONE) {
-            open(now);
+        if (!ended) {
+            heardAt = now;
+            if (current == NONE) {
+                open(now);
+            }
         }
     }
 
+    /** Another source tells of the list from now on: discovery is not asked any more. */
+    void end() {
+        if (!ended) {
+            ended = true;
+            heardAt = Long.MAX_VALUE;
+            giveUp(former, CloseReason.DISCOVERY_LEFT);
+            giveUp(current, CloseReason.DISCOVERY_LEFT);
+            former = NONE;
+            current = NONE;
+        }
+    }
+
+    /** Nodes have to be able to ask once in this time: it counts from the next call on. */
+    void askWithin(long span) {
+        deadline = ListDeadline.of(span);
+    }
+
     /**
      * Discovery is at another address from now on. The call that is out is not waited for: its address takes
      * no further calls, and what it does not tell any more counts as told soon.
      */
     void move(long now, Address to) {
-        if (!to.equals(address)) {
+        if (!to.equals(address) && !ended) {
             address = to;
             seq = NO_VERSION;
             giveUp(former, CloseReason.DISCOVERY_MOVED);
@@ -103,7 +119,7 @@
 
     /** A pause after a call is over. One that another call has overtaken would add to the calls. */
     void resume(long now, long after) {
-        if (current == NONE && after == lastCall) {
+        if (current == NONE && after == lastCall && !ended) {
             next(now);
         }
     }
@@ -218,8 +234,8 @@
         }
     }
 
-    /** Takes an answer that counts, goes on with the watch, and says what the decisions have to know. */
-    Optional<DecisionApi.Event> read(long now, long call, HostList list) {
+    /** Takes an answer that counts and goes on with the watch; says what of the list is news, if any is. */
+    Optional<ListScope> read(long now, long call, HostList list) {
         boolean news = list.whole() || !list.hosts().isEmpty();
         seq = list.seq();
         if (call == former) {
@@ -228,8 +244,7 @@
             news |= !answered;
             goOn(now, news);
         }
-        return news ? Optional.of(listed(list, list.whole() ? ListScope.FULL : ListScope.CHANGES))
-            : Optional.empty();
+        return news ? Optional.of(list.whole() ? ListScope.FULL : ListScope.CHANGES) : Optional.empty();
     }
 
     // The call that is out was answered: the watch is open, and goes on from what is known now.
@@ -247,23 +262,4 @@
             next(now);
         }
     }
-
-    DecisionApi.Event lastKnown(HostList known) {
-        return listed(known, ListScope.LAST_KNOWN);
-    }
-
-    /** What changed for other reasons than discovery's. */
-    DecisionApi.Event changed(HostList list) {
-        return listed(list, ListScope.CHANGES);
-    }
-
-    private ServerList listed(HostList list, ListScope scope) {
-        return new ServerList(scope, list.hosts().stream().map(this::listed).toList());
-    }
-
-    private ListedServer listed(HostList.Host host) {
-        return new ListedServer(ServerIds.of(host.name()), config.zones().indexOf(host.site()),
-            config.kinds().indexOf(host.kind()), host.block(), host.state(), host.share(),
-            host.bornMs() * 1000);
-    }
 }
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -12,6 +12,7 @@
 import io.vertx.core.net.NetClient;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -166,9 +167,15 @@
         context.runOnContext(run -> {
             LOG.info("{} goes on with discovery at {} and {} descriptors", config.name(), next.discovery(),
                 next.sockets());
-            if (!next.settings().equals(config.settings()) || !next.listen().equals(config.listen())
-                || !java.util.Objects.equals(next.management(), config.management())) {
-                LOG.warn("the new configuration's addresses and settings count from the next start on");
+            if (router.version().isPresent()) {
+                LOG.info("{} keeps the settings of the log of changes, not those of the file", config.name());
+            } else if (!next.nodeSettings().equals(router.settings())) {
+                LOG.info("{} goes on with other settings, of {} classes", config.name(),
+                    next.settings().classes().size());
+            }
+            if (!next.listen().equals(config.listen()) || next.memoryMb() != config.memoryMb()
+                || !Objects.equals(next.management(), config.management())) {
+                LOG.warn("the new configuration's addresses and memory count from the next start on");
             }
             events.take(new Event.Reconfigured(next));
         });
--- a/src/test/java/ottergauge/ArchitectureTest.java
+++ b/src/test/java/ottergauge/ArchitectureTest.java
@@ -86,7 +86,7 @@
             .whereLayer("simhost").mayOnlyBeAccessedByLayers("program")
             .whereLayer("routing").mayOnlyBeAccessedByLayers("transport")
             .whereLayer("replica").mayOnlyBeAccessedByLayers("transport", "program")
-            .whereLayer("resources").mayOnlyBeAccessedByLayers("replica", "transport", "program")
+            .whereLayer("resources").mayOnlyBeAccessedByLayers("replica", "routing", "transport", "program")
             .whereLayer("protocol").mayOnlyBeAccessedByLayers("resources", "replica", "routing", "transport",
                 "program")
             .whereLayer("migration").mayOnlyBeAccessedByLayers("program")
--- a/src/test/java/ottergauge/SettingsChangeTest.java
+++ b/src/test/java/ottergauge/SettingsChangeTest.java
@@ -18,8 +18,10 @@
 import ottergauge.DecisionApi.Fail;
 import ottergauge.DecisionApi.Group;
 import ottergauge.DecisionApi.ListScope;
+import ottergauge.DecisionApi.ListedServer;
 import ottergauge.DecisionApi.LoadReport;
 import ottergauge.DecisionApi.Probe;
+import ottergauge.DecisionApi.ProbeEnded;
 import ottergauge.DecisionApi.Refuse;
 import ottergauge.DecisionApi.Repeat;
 import ottergauge.DecisionApi.RequestClass;
@@ -30,6 +32,7 @@
 import ottergauge.DecisionApi.ServerState;
 import ottergauge.DecisionApi.Settings;
 import ottergauge.DecisionApi.SettingsChanged;
+import ottergauge.DecisionApi.Standing;
 
 /** Settings that come in force while requests are held, are out, or are about to be sent again. */
 class SettingsChangeTest {
@@ -383,6 +386,40 @@
         assertEquals(0, Node.those(Probe.class, arrive(node, "c", 0)).size());
     }
 
+    private static void listOnly(Node node, long id, int zone) {
+        node.on(new ServerList(ListScope.FULL,
+            List.of(new ListedServer(id, zone, 0, 0, ServerState.UP, 1, 0))));
+    }
+
+    /** A request has the one server probed, whose answer takes so long; it is served. */
+    private void probe(Node node, long trip) {
+        node.now += 1_000 * MS;
+        String id = "p" + ++lastRequest;
+        long server = Node.only(Probe.class, arrive(node, id, 0)).server();
+        node.now += trip;
+        node.on(new ProbeEnded(server, Result.SERVED, trip, Node.IDLE));
+        node.now += MS;
+        node.ended(id, 0, server, Result.SERVED, MS);
+    }
+
+    /** Guards against a far zone whose servers are taken for mute since a near one had its number before. */
+    @Test
+    void tripsAreLearntAnewWhereZonesAreNumberedAnew() {
+        settings.probes = true;
+        Node node = node(READ);
+        listOnly(node, 2, 0);
+        probe(node, MS);
+        listOnly(node, 1, 1);
+        probe(node, 30 * MS);
+        listOnly(node, 1, 0);
+        probe(node, 30 * MS);
+        node.now += 1_000 * MS;
+        Node.only(Probe.class, arrive(node, "last", 0));
+        assertEquals(Standing.USED, node.decide.standing(node.now + 20 * MS, 1));
+        node.after(20 * MS);
+        assertEquals(Standing.USED, node.decide.standing(node.now, 1));
+    }
+
     /** A change that is taken back leaves no trace: the same as if there had been none. */
     @Test
     void aChangeAndItsReverseChangeNothing() {
--- a/src/test/java/ottergauge/program/NodeIT.java
+++ b/src/test/java/ottergauge/program/NodeIT.java
@@ -346,6 +346,35 @@
         }
     }
 
+    /** Classes come and go while connections of clients and to servers stay as they are. */
+    @Test
+    void aHangUpTakesSettingsOverWithoutARestart() throws Exception {
+        String one;
+        try (StubServer server = StubServer.obedient(); RunningNode node = nodeBefore(server);
+             Client client = node.client(); Client other = node.client()) {
+            one = host("s-1", server.address(), "in_service");
+            assertEquals(200, client.ask(Client.request("read", "ok", "")).status());
+            assertEquals(400, other.ask(Client.request("audit", "ok", "x")).status());
+            TestConfig next = new TestConfig().knows(one).at(node.address(), NOWHERE);
+            node.hangUp(next.classes(TestConfig.requestClass("audit", "single_shot", 1000), TestConfig.READ,
+                TestConfig.requestClass("read", "free", 500)).json());
+            node.awaitLog("not read twice");
+            assertEquals(200, client.ask(Client.request("pay", "ok", "x")).status());
+            node.hangUp(next.classes(TestConfig.requestClass("audit", "single_shot", 1000), TestConfig.READ)
+                .json());
+            node.awaitLog("goes on with other settings, of 2 classes");
+            assertEquals(200, client.ask(Client.request("audit", "ok", "x")).status());
+            assertEquals(200, client.ask(Client.request("read", "ok", "")).status());
+            assertEquals(400, client.ask(Client.request("pay", "ok", "x")).status());
+            assertTrue(server.ended.isEmpty(), "a connection was closed");
+            node.hangUp(next.at("127.0.0.1:1", NOWHERE).json());
+            node.awaitLog("count from the next start on");
+            try (Client late = node.client()) {
+                assertEquals(200, late.ask(Client.request("audit", "ok", "x")).status());
+            }
+        }
+    }
+
     /** The whole way of the move: an old file translated, a node started with it that asks for its list. */
     @Test
     void aMigratedConfigurationStartsANodeThatAsksThoughItsListIsSaidToBePushed() throws Exception {
--- /dev/null
+++ b/src/test/java/ottergauge/protocol/NodeSettingsTest.java
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static ottergauge.protocol.TestConfig.GRANT;
+import static ottergauge.protocol.TestConfig.READ;
+import static ottergauge.protocol.TestConfig.requestClass;
+
+import java.nio.charset.StandardCharsets;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Settings that a node does not take, by what is wrong with them. */
+class NodeSettingsTest {
+
+    private static NodeSettings of(String... classes) throws ProtocolException {
+        return NodeConfig.read(new TestConfig().classes(classes).json().getBytes(StandardCharsets.UTF_8))
+            .nodeSettings();
+    }
+
+    private static String fault(String... classes) {
+        return assertThrows(ProtocolException.class, () -> of(classes)).getMessage();
+    }
+
+    private static String[] many(int count) {
+        return IntStream.range(0, count).mapToObj(i -> requestClass("c" + i, "free", 1000))
+            .toArray(String[]::new);
+    }
+
+    @Test
+    void upTo1024ClassesAreTaken() throws ProtocolException {
+        assertEquals(1024, of(many(1024)).decisions().classes().size());
+        assertTrue(fault(many(1025)).contains("1 to 1024, not 1025"), fault(many(1025)));
+        assertTrue(fault().contains("no classes"), fault());
+    }
+
+    @Test
+    void twoClassesOfOneNameAreNot() throws ProtocolException {
+        assertEquals(2, of(READ, GRANT).decisions().classes().size());
+        String fault = fault(READ, GRANT, requestClass("read", "single_shot", 500));
+        assertTrue(fault.contains("not read twice"), fault);
+    }
+
+    @Test
+    void aNodesNumberIsAllThatDiffersForIt() throws ProtocolException {
+        NodeSettings shared = of(READ);
+        NodeSettings own = shared.forNode(7);
+        assertEquals(7, own.decisions().node());
+        assertEquals(shared, own.forNode(shared.decisions().node()));
+    }
+}
--- a/src/test/java/ottergauge/protocol/TestConfig.java
+++ b/src/test/java/ottergauge/protocol/TestConfig.java
@@ -8,7 +8,15 @@
 /** Builds a node's configuration as the platform would write it. */
 public final class TestConfig {
 
+    /** The classes that settings name unless others are given. */
+    public static final String READ = requestClass("read", "free", 1000);
+    public static final String PAY = requestClass("pay", "guarded", 1000).replace("}",
+        ",\"group\":\"zone\",\"windowMs\":800.0}");
+    public static final String GRANT = requestClass("grant", "single_shot", 1000);
+
     private final List<String> hosts = new ArrayList<>();
+    private List<String> classes = List.of(READ, PAY, GRANT);
+    private String zones = "\"a\",\"b\"";
     private String listen = "127.0.0.1:3000";
     private String discovery = "127.0.0.1:8500";
     private String management;
@@ -19,6 +27,7 @@
     private boolean probes;
     private boolean cancel = true;
     private int nodes = 1;
+    private int me;
     private double probePrice = 0.002;
 
     /** One entry of a list. */
@@ -29,6 +38,13 @@
             .formatted(name, dial, health);
     }
 
+    /** A class whose clients wait for so long, as settings name it. */
+    public static String requestClass(String name, String semantics, long limitMs) {
+        return """
+            {"name":"%s","semantics":"%s","aimMs":800.0,"hardLimitMs":%d.0,"value":1.0}"""
+            .formatted(name, semantics, limitMs);
+    }
+
     /** One entry of a list, of a server that started at this Unix time. */
     public static String born(String name, String dial, long bornMs) {
         return host(name, dial, "in_service").replace("\"born_ms\":0", "\"born_ms\":" + bornMs);
@@ -55,6 +71,17 @@
         return this;
     }
 
+    /** These classes in place of the usual ones. */
+    public TestConfig classes(String... entries) {
+        classes = List.of(entries);
+        return this;
+    }
+
+    public TestConfig zones(String... names) {
+        zones = "\"" + String.join("\",\"", names) + "\"";
+        return this;
+    }
+
     public TestConfig sockets(int most) {
         sockets = most;
         return this;
@@ -76,6 +103,18 @@
         return this;
     }
 
+    /** The node's number among all nodes. */
+    public TestConfig me(int number) {
+        me = number;
+        return this;
+    }
+
+    /** One of so many nodes. */
+    public TestConfig balancers(int balancers) {
+        nodes = balancers;
+        return this;
+    }
+
     /** One of so many nodes, where a probe costs this part of the result. */
     public TestConfig fleet(int balancers, double price) {
         nodes = balancers;
@@ -98,7 +137,7 @@
             {"name":"n1","listen":"%s","discovery":"%s",%s"seed":"8c1f30d27a5be964",
              "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
              "known":%s,
-             "settings":{"me":0,"balancers":%d,"zone":"a","zones":["a","b"],"kinds":["m1","m2"],
+             "settings":{"me":%d,"balancers":%d,"zone":"a","zones":[%s],"kinds":["m1","m2"],
               "registryMode":"on_request","clients":{"marksRetry":true},
               "reporting":{"how":"%s","fields":["outstanding"]},
               "ceilings":{"probes":%b,"cancel":%b,"retryAfter":true,"maxAttempts":%d,
@@ -106,16 +145,13 @@
               "rules":{"answerSlackMs":5.0,"stopSendingWithinMs":250.0,"coldFrom":0.3,"coldMs":9000.0,
                "tipMultiple":3.0,"fallMs":1000.0,"mustAskInMs":%d},
               "penalties":{"probe":%s},
-              "classes":[
-               {"name":"read","semantics":"free","aimMs":800.0,"hardLimitMs":1000.0,"value":1.0},
-               {"name":"pay","semantics":"guarded","group":"zone","windowMs":800.0,"aimMs":800.0,
-                "hardLimitMs":1000.0,"value":1.0},
-               {"name":"grant","semantics":"single_shot","aimMs":800.0,"hardLimitMs":1000.0,"value":1.0}],
+              "classes":[%s],
               "parties":[]}}
             """.formatted(listen, discovery,
             management == null ? "" : "\"management\":\"" + management + "\",", sockets,
             list(41, true, hosts.toArray(new String[0])),
-            nodes, probes ? "inline" : "off", probes, cancel, maxAttempts, idleMs, askMs, probePrice);
+            me, nodes, zones, probes ? "inline" : "off", probes, cancel, maxAttempts, idleMs, askMs,
+            probePrice, String.join(",", classes));
     }
 
     public NodeConfig build() {
--- a/src/test/java/ottergauge/routing/RouterDriver.java
+++ b/src/test/java/ottergauge/routing/RouterDriver.java
@@ -10,6 +10,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import ottergauge.DecisionApi.LoadReport;
 import ottergauge.protocol.Content;
@@ -17,6 +18,7 @@
 import ottergauge.protocol.ProtocolException;
 import ottergauge.protocol.RequestFields;
 import ottergauge.protocol.TestConfig;
+import ottergauge.resources.LogPosition;
 import ottergauge.routing.Effect.CallDiscovery;
 import ottergauge.routing.Effect.Connect;
 import ottergauge.routing.Effect.Forward;
@@ -200,6 +202,27 @@
         return respond.status();
     }
 
+    /** The node reads another configuration, as on SIGHUP. */
+    void reconfigure(TestConfig config) {
+        tell(new Event.Reconfigured(config.build()));
+    }
+
+    /** Another version of what all nodes share: a list as discovery tells it, and settings if there are. */
+    void state(long version, Optional<TestConfig> settings, boolean whole, String... entries) {
+        try {
+            HostList servers = HostList.read(
+                TestConfig.list(version, whole, entries).getBytes(StandardCharsets.UTF_8));
+            tell(new Event.StateChanged(servers, settings.map(config -> config.build().nodeSettings()),
+                new LogPosition("log", version)));
+        } catch (ProtocolException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    Optional<LogPosition> version() {
+        return router.version();
+    }
+
     void callFailed() {
         tell(new Event.ListCallFailed(lastCall));
     }
--- /dev/null
+++ b/src/test/java/ottergauge/routing/SettingsTakeoverTest.java
@@ -0,0 +1,362 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static ottergauge.protocol.TestConfig.GRANT;
+import static ottergauge.protocol.TestConfig.PAY;
+import static ottergauge.protocol.TestConfig.READ;
+import static ottergauge.protocol.TestConfig.born;
+import static ottergauge.protocol.TestConfig.host;
+import static ottergauge.protocol.TestConfig.requestClass;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Named;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import ottergauge.protocol.Content;
+import ottergauge.protocol.RequestFields;
+import ottergauge.protocol.TestConfig;
+import ottergauge.resources.LogPosition;
+import ottergauge.routing.Effect.CallDiscovery;
+import ottergauge.routing.Effect.CloseServer;
+import ottergauge.routing.Effect.Connect;
+import ottergauge.routing.Effect.Forward;
+import ottergauge.routing.Effect.GiveUpCall;
+import ottergauge.routing.Effect.Respond;
+import ottergauge.routing.Effect.TellOperator;
+
+/** Settings and state that come in force while the node serves, on SIGHUP and from the log of changes. */
+class SettingsTakeoverTest {
+
+    private static final String ONE = host("s-1", "10.0.0.1:80", "in_service");
+    private static final String TWO = host("s-2", "10.0.0.2:80", "in_service");
+    private static final String ONE_GONE = host("s-1", "10.0.0.1:80", "terminated");
+    private static final String AUDIT = requestClass("audit", "single_shot", 1000);
+    private static final String TWO_DIAL = "10.0.0.2:80";
+
+    private static RouterDriver one() {
+        return new RouterDriver(new TestConfig().knows(ONE));
+    }
+
+    private static TestConfig classes(String... entries) {
+        return new TestConfig().classes(entries);
+    }
+
+    private static String inZone(String entry, String zone) {
+        return entry.replace("\"site\":\"a\"", "\"site\":\"" + zone + "\"");
+    }
+
+    /** Both ways on which settings come. */
+    static Stream<Named<BiConsumer<RouterDriver, TestConfig>>> ways() {
+        return Stream.of(Named.of("SIGHUP", RouterDriver::reconfigure),
+            Named.of("log of changes", (node, config) -> node.state(120, Optional.of(config), false)));
+    }
+
+    // ---- Classes ------------------------------------------------------------------------------------
+
+    @ParameterizedTest
+    @MethodSource("ways")
+    void aNewClassIsServedFromThatInstantOnOverKeptConnections(BiConsumer<RouterDriver, TestConfig> way) {
+        RouterDriver node = one();
+        Forward first = node.connectToNew("read");
+        node.serve(first);
+        node.expect(Respond.class);
+        long early = node.request("audit");
+        assertEquals(400, node.status(early));
+        way.accept(node, classes(AUDIT, READ, PAY, GRANT));
+        node.expectNo(CloseServer.class);
+        node.request("audit");
+        Forward forward = node.expect(Forward.class);
+        assertEquals(first.connection(), forward.connection());
+        node.serve(forward);
+        assertEquals(200, node.expect(Respond.class).status());
+    }
+
+    @ParameterizedTest
+    @MethodSource("ways")
+    void whatWaitsOfAClassThatIsRemovedIsServedAndNewRequestsAreUnknown(
+            BiConsumer<RouterDriver, TestConfig> way) {
+        RouterDriver node = new RouterDriver(new TestConfig());
+        long waiting = node.request("grant");
+        way.accept(node, classes(READ));
+        long late = node.request("grant");
+        assertEquals(400, node.status(late));
+        node.expectNo(Respond.class);
+        node.state(121, Optional.empty(), true, ONE);
+        node.serve(node.connectNext());
+        assertEquals(200, node.status(waiting));
+        assertEquals(0, figure(node, "pending"));
+    }
+
+    /** Its semantics are those that it was taken with: what may have had an effect is not tried again. */
+    @ParameterizedTest
+    @MethodSource("ways")
+    void whatIsInFlightKeepsTheClassThatItsNameStoodFor(BiConsumer<RouterDriver, TestConfig> way) {
+        RouterDriver node = one();
+        long client = node.request("grant");
+        Forward forward = node.connectNext();
+        node.written(forward);
+        way.accept(node, classes(requestClass("grant", "free", 1000)));
+        node.tell(new Event.ServerClosed(forward.connection(), false));
+        assertEquals(502, node.status(client));
+        node.expectNo(Forward.class);
+    }
+
+    @ParameterizedTest
+    @MethodSource("ways")
+    void whatIsAboutToBeTriedAgainKeepsItsTime(BiConsumer<RouterDriver, TestConfig> way) {
+        RouterDriver node = one();
+        long client = node.client();
+        node.tell(new Event.RequestRead(client, new Event.ClientRequest(
+            new RequestFields("id", "read", -1, false, null), "GET", "/api", Content.NONE), 0));
+        Connect connect = node.expect(Connect.class);
+        way.accept(node, classes(requestClass("read", "free", 200)));
+        node.pass(100);
+        node.tell(new Event.ConnectFailed(connect.connection()));
+        node.pass(200);
+        node.expectNo(Respond.class);
+        Forward forward = node.connectNext();
+        assertTrue(forward.waits() > 200_000, "waits " + forward.waits());
+        node.serve(forward);
+        assertEquals(200, node.status(client));
+    }
+
+    /** Each name stands for its class wherever it is listed: what is no request of that is not taken. */
+    @ParameterizedTest
+    @MethodSource("ways")
+    void classesThatAreListedInAnotherOrderStayWhatTheyAre(BiConsumer<RouterDriver, TestConfig> way) {
+        RouterDriver node = one();
+        way.accept(node, classes(GRANT, READ, PAY));
+        for (String name : new String[] {"read", "pay", "grant"}) {
+            long client = node.request(name);
+            Forward forward = node.has(Connect.class) ? node.connectNext() : node.expect(Forward.class);
+            node.serve(forward);
+            assertEquals(200, node.status(client), name);
+            assertEquals(1, figure(node, "completed." + name));
+        }
+        long keyless = node.client();
+        node.tell(new Event.RequestRead(keyless, new Event.ClientRequest(
+            new RequestFields("id", "pay", 500, false, null), "POST", "/api", Content.NONE), 0));
+        assertEquals(400, node.status(keyless));
+    }
+
+    @Test
+    void aClassKeepsItsFiguresForAsLongAsItIsNamed() {
+        RouterDriver node = one();
+        node.serve(node.connectToNew("read"));
+        node.expect(Respond.class);
+        node.reconfigure(classes(GRANT, READ));
+        assertEquals(1, figure(node, "completed.read"));
+        node.reconfigure(classes(GRANT));
+        assertFalse(figures(node).contains("completed.read"));
+        node.reconfigure(classes(READ));
+        assertEquals(0, figure(node, "completed.read"));
+    }
+
+    @Test
+    void aChangeAndItsReverseLeaveWhatWaitsAsItWas() {
+        RouterDriver node = one();
+        long client = node.request("pay");
+        node.reconfigure(classes(READ));
+        node.reconfigure(new TestConfig());
+        node.serve(node.connectNext());
+        assertEquals(200, node.status(client));
+        long next = node.request("pay");
+        node.serve(node.expect(Forward.class));
+        assertEquals(200, node.status(next));
+    }
+
+    private static String figures(RouterDriver node) {
+        node.tell(new Event.OperatorAsked(1, new OperatorCall.Stats()));
+        return node.expect(TellOperator.class).text();
+    }
+
+    private static long figure(RouterDriver node, String name) {
+        return figures(node).lines().filter(line -> line.startsWith("balancer." + name + "="))
+            .mapToLong(line -> Long.parseLong(line.substring(line.indexOf('=') + 1))).sum();
+    }
+
+    // ---- What is in force for servers and connections -----------------------------------------------
+
+    /**
+     * Guards against an effect that happens in two zones: under the new numbers of zones the one's was the
+     * other's.
+     */
+    @ParameterizedTest
+    @MethodSource("ways")
+    void zonesThatAreListedInAnotherOrderStayApart(BiConsumer<RouterDriver, TestConfig> way) {
+        String other = inZone(TWO, "b");
+        RouterDriver node = new RouterDriver(new TestConfig().knows(ONE));
+        long client = node.request("pay");
+        Forward forward = node.connectNext();
+        node.written(forward);
+        way.accept(node, new TestConfig().zones("b", "a"));
+        node.state(121, Optional.empty(), false, other);
+        node.tell(new Event.ServerClosed(forward.connection(), false));
+        node.pass(1000);
+        // It may go to the one server of its zone again, and to no other.
+        while (node.has(Connect.class)) {
+            assertNotEquals(TWO_DIAL, node.expect(Connect.class).address().toString());
+        }
+        assertEquals(502, node.status(client));
+    }
+
+    /** Zones that no settings name are taken for one; from the change on that names them they are two. */
+    @ParameterizedTest
+    @MethodSource("ways")
+    void zonesThatAreAddedAreToldApartAtServersThatAreListed(BiConsumer<RouterDriver, TestConfig> way) {
+        RouterDriver node =
+            new RouterDriver(new TestConfig().knows(inZone(ONE, "c"), inZone(TWO, "d")));
+        way.accept(node, new TestConfig().zones("a", "b", "c", "d"));
+        long client = node.request("pay");
+        Connect first = node.expect(Connect.class);
+        node.tell(new Event.ServerConnected(first.connection()));
+        Forward forward = node.expect(Forward.class);
+        node.written(forward);
+        node.tell(new Event.ServerClosed(forward.connection(), false));
+        node.pass(1000);
+        while (node.has(Connect.class)) {
+            assertEquals(first.address(), node.expect(Connect.class).address());
+        }
+        assertEquals(502, node.status(client));
+    }
+
+    @ParameterizedTest
+    @MethodSource("ways")
+    void idleConnectionsEndByTheTimeInForce(BiConsumer<RouterDriver, TestConfig> way) {
+        RouterDriver node = one();
+        node.serve(node.connectToNew("read"));
+        node.pass(3_000);
+        node.expectNo(CloseServer.class);
+        way.accept(node, new TestConfig().idleMs(2_000));
+        node.pass(500);
+        assertEquals(CloseReason.IDLE, node.expect(CloseServer.class).reason());
+    }
+
+    @Test
+    void callsToDiscoveryWaitByTheTimeInForce() {
+        RouterDriver node = one();
+        node.list(42, true, ONE);
+        node.reconfigure(new TestConfig().askMs(1_000));
+        while (node.has(CallDiscovery.class)) {
+            node.expect(CallDiscovery.class);
+        }
+        for (long seq = 43; seq < 53; seq++) {
+            node.list(seq, true, ONE);
+            long waits = node.expect(CallDiscovery.class).waits();
+            assertTrue(waits <= 500_000, "waits for " + waits + " us of one second");
+        }
+    }
+
+    // ---- State from the log of changes --------------------------------------------------------------
+
+    /**
+     * What is held goes where the new list has a server. It has one attempt: chosen by the new settings out
+     * of the old list, it would be lost at the server that goes.
+     */
+    @Test
+    void serversAndSettingsComeInForceAtOneInstant() {
+        RouterDriver node = new RouterDriver(new TestConfig().attempts(1).balancers(50_000)
+            .knows(born("s-1", "10.0.0.1:80", 1_000_000_000)));
+        node.request("grant");
+        node.expectNo(Connect.class);
+        node.state(120, Optional.of(new TestConfig().balancers(1)), false, ONE_GONE, TWO);
+        assertEquals(TWO_DIAL, node.expect(Connect.class).address().toString());
+        node.expectNo(Respond.class);
+        assertEquals(Optional.of(new LogPosition("log", 120)), node.version());
+    }
+
+    /** What waited for a connection to a server that goes with the change is taken to another one. */
+    @Test
+    void whatWaitedForAServerThatGoesIsTakenToAnother() {
+        RouterDriver node = one();
+        node.request("grant");
+        node.expect(Connect.class);
+        node.state(120, Optional.of(classes(READ, AUDIT)), false, ONE_GONE, TWO);
+        assertEquals(TWO_DIAL, node.expect(Connect.class).address().toString());
+        node.expectNo(Connect.class);
+    }
+
+    @Test
+    void aChangeOfNothingThatIsFollowedIsAVersionAllTheSame() {
+        RouterDriver node = one();
+        assertEquals(Optional.empty(), node.version());
+        assertFalse(figures(node).contains("state_version"));
+        node.state(120, Optional.empty(), false);
+        assertEquals(Optional.of(new LogPosition("log", 120)), node.version());
+        assertEquals(120, figure(node, "state_version"));
+        node.serve(node.connectToNew("read"));
+        assertEquals(200, node.expect(Respond.class).status());
+    }
+
+    /** Two sources of one list would undo each other's changes. */
+    @Test
+    void discoveryIsAskedNoMoreOnceTheListComesFromTheLog() {
+        RouterDriver node = one();
+        node.pass(200);
+        long call = node.expect(CallDiscovery.class).call();
+        node.state(120, Optional.empty(), true, TWO);
+        assertEquals(call, node.expect(GiveUpCall.class).call());
+        node.list(42, true, ONE);
+        node.callFailed();
+        node.reconfigure(new TestConfig().at("127.0.0.1:3000", "127.0.0.1:8501"));
+        node.pass(60_000);
+        node.expectNo(CallDiscovery.class);
+        // What it has counts for as long as nothing newer comes: the log's other end may be away.
+        node.request("read");
+        Connect connect = node.expect(Connect.class);
+        assertEquals(TWO_DIAL, connect.address().toString());
+        node.tell(new Event.ServerConnected(connect.connection()));
+        node.serve(node.expect(Forward.class));
+        assertEquals(200, node.expect(Respond.class).status());
+    }
+
+    /** Guards against nodes that all take the place of one: settings that they share can't number them. */
+    @Test
+    void aNodeKeepsItsNumberUnderSharedSettings() {
+        String[] servers = IntStream.range(0, 50)
+            .mapToObj(i -> host("s-" + i, "10.0.1." + i + ":80", "in_service")).toArray(String[]::new);
+        RouterDriver node = new RouterDriver(new TestConfig().me(7).fleet(1000, 0.08).knows(servers));
+        Set<String> before = used(node);
+        node.state(120, Optional.of(new TestConfig().fleet(1000, 0.08).classes(READ, AUDIT)), false);
+        assertEquals(before, used(node));
+    }
+
+    private static Set<String> used(RouterDriver node) {
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 60; i++) {
+            node.request("read");
+            Connect connect = node.expect(Connect.class);
+            used.add(connect.address().toString());
+            node.tell(new Event.ServerConnected(connect.connection()));
+            Forward forward = node.expect(Forward.class);
+            node.written(forward);
+            // Not kept, so that each request shows by its connection where it goes.
+            node.answer(forward, 200, false, false);
+            node.expect(Respond.class);
+            node.pass(20);
+        }
+        return used;
+    }
+
+    /** A hang-up for another reason must not bring back the settings that the node was started with. */
+    @Test
+    void theFilesSettingsCountNoMoreOnceTheyComeFromTheLog() {
+        RouterDriver node = one();
+        node.state(120, Optional.of(classes(AUDIT)), false);
+        node.reconfigure(new TestConfig().sockets(512));
+        long client = node.request("read");
+        assertEquals(400, node.status(client));
+        node.serve(node.connectToNew("audit"));
+        assertEquals(200, node.expect(Respond.class).status());
+    }
+}
