The replica: a reducer that follows a log of changes and says what comes in force

Need: a node has to follow the log of docs/control.md through processes that die, fall silent, lag, lie or begin anew, and go by one version's state at any instant.

Change: ottergauge.replica. State is bounded by number and reckoned bytes; one that is larger is reported and fetched again after half a minute at the soonest. A state to keep is handed out once in an interval and at the end.

Beside the page's rule: changes since the first page are applied in their order whatever the page's version of a resource is. That ends in the same state, and sets a resource whose page value was refused to the last good one. Within a log a node never goes back: "too old" from a process that has not reached the node's version means ask elsewhere, and another log is followed once a whole round has not had the node's.

--- /dev/null
+++ b/src/main/java/ottergauge/replica/ControlAddress.java
@@ -0,0 +1,7 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.replica;
+
+import ottergauge.protocol.Address;
+
+/** Where a control process is reached, and the region that it runs in. */
+public record ControlAddress(Address address, String region) { }
--- /dev/null
+++ b/src/main/java/ottergauge/replica/ControlOrder.java
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.replica;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * Which control process a node asks: those of its region first, then the others, both in the order of a
+ * rendezvous hash, so that the nodes of a process that is lost spread over all that are left. A round asks each
+ * of them once.
+ */
+final class ControlOrder {
+
+    private static final long HASH_START = 0xcbf29ce484222325L;
+    private static final long HASH_PRIME = 0x100000001b3L;
+    private static final long MIX_FIRST = 0xff51afd7ed558ccdL;
+    private static final long MIX_SECOND = 0xc4ceb9fe1a85ec53L;
+    private static final int MIX_SHIFT = 33;
+
+    private final List<ControlAddress> order;
+    /** Those that this round has not asked yet. */
+    private final Deque<ControlAddress> left = new ArrayDeque<>();
+    private ControlAddress current;
+    private int failedRounds;
+
+    ControlOrder(String node, String region, List<ControlAddress> addresses) {
+        order = addresses.stream().sorted(Comparator
+            .comparing((ControlAddress each) -> !each.region().equals(region))
+            .thenComparing(each -> hash(node, each), Long::compareUnsigned)).toList();
+        beginRound();
+    }
+
+    private static long hash(String node, ControlAddress address) {
+        long hash = HASH_START;
+        String text = node + '\n' + address.address();
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * HASH_PRIME;
+        }
+        hash = (hash ^ hash >>> MIX_SHIFT) * MIX_FIRST;
+        hash = (hash ^ hash >>> MIX_SHIFT) * MIX_SECOND;
+        return hash ^ hash >>> MIX_SHIFT;
+    }
+
+    /** The process that the node goes by, or asks. */
+    ControlAddress current() {
+        return current;
+    }
+
+    boolean isAtFirst() {
+        return current.equals(order.get(0));
+    }
+
+    /** Goes to the next process of the round; false if it has asked all. */
+    boolean next() {
+        if (left.isEmpty()) {
+            return false;
+        }
+        current = left.poll();
+        return true;
+    }
+
+    /** Begins a round with the first process. */
+    void beginRound() {
+        left.clear();
+        left.addAll(order);
+        current = left.poll();
+    }
+
+    /** Begins a round with the first process, whose last one is the one that the node goes by. */
+    void returnToFirst() {
+        ControlAddress before = current;
+        beginRound();
+        if (!before.equals(current)) {
+            left.remove(before);
+            left.addFirst(before);
+        }
+    }
+
+    /** Begins a round with this process. */
+    void beginRoundWith(ControlAddress address) {
+        left.clear();
+        left.addAll(order);
+        left.remove(address);
+        current = address;
+    }
+
+    /** The current process has answered: if it is lost later, all the others come first. */
+    void answered() {
+        failedRounds = 0;
+        beginRoundWith(current);
+        left.addLast(current);
+    }
+
+    /** How many rounds in a row had no answer that could be used, before this one. */
+    int roundFailed() {
+        return failedRounds++;
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/replica/PendingChanges.java
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.replica;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import ottergauge.resources.Change;
+import ottergauge.resources.Fault;
+import ottergauge.resources.LogPosition;
+import ottergauge.resources.Resource;
+import ottergauge.resources.ResourceKey;
+import ottergauge.resources.Subscription;
+
+/**
+ * What a page of changes makes of a state: gathers the newest value of each resource that it touches, so that
+ * all of it comes in force at once, and nothing of what it takes back itself.
+ */
+final class PendingChanges {
+
+    private final ResourceTable table;
+    private final Subscription subscription;
+    private final ReplicaLimits limits;
+    /** Empty for a resource that is deleted. */
+    private final Map<ResourceKey, Optional<Resource>> touched = new TreeMap<>();
+    private int size;
+    private long bytes;
+
+    PendingChanges(ResourceTable table, Subscription subscription, ReplicaLimits limits) {
+        this.table = table;
+        this.subscription = subscription;
+        this.limits = limits;
+        size = table.size();
+        bytes = table.bytes();
+    }
+
+    /** Adds a change, or says why the state would be too large with it. */
+    Optional<Fault> add(Change change) {
+        int sizeBefore = size;
+        long bytesBefore = bytes;
+        Map<ResourceKey, Optional<Resource>> before = new TreeMap<>();
+        for (Change.Put put : change.puts()) {
+            boolean followed = subscription.follows(put.key(), put.value().service());
+            set(put.key(), followed ? Optional.of(new Resource(put.key(), change.version(), put.value()))
+                : Optional.empty(), before);
+        }
+        for (Change.Delete delete : change.deletes()) {
+            set(delete.key(), Optional.empty(), before);
+        }
+        Optional<Fault> fault = sizeFault(sizeBefore, bytesBefore);
+        if (fault.isPresent()) {
+            before.forEach((key, value) -> touched.put(key, value));
+            size = sizeBefore;
+            bytes = bytesBefore;
+        }
+        return fault;
+    }
+
+    private void set(ResourceKey key, Optional<Resource> value, Map<ResourceKey, Optional<Resource>> before) {
+        Optional<Resource> old = touched.getOrDefault(key, table.get(key));
+        before.putIfAbsent(key, old);
+        touched.put(key, value);
+        size += (value.isPresent() ? 1 : 0) - (old.isPresent() ? 1 : 0);
+        bytes += value.map(ResourceSize::of).orElse(0L) - old.map(ResourceSize::of).orElse(0L);
+    }
+
+    private Optional<Fault> sizeFault(int sizeBefore, long bytesBefore) {
+        if (size > limits.resources() && size > sizeBefore) {
+            return Optional.of(new Fault("resources", Integer.toString(size), "up to " + limits.resources()));
+        }
+        if (bytes > limits.bytes() && bytes > bytesBefore) {
+            return Optional.of(new Fault("bytes", Long.toString(bytes), "up to " + limits.bytes()));
+        }
+        return Optional.empty();
+    }
+
+    /** Puts all into the table and gives back what differs by that. */
+    StateChange commit(LogPosition position) {
+        List<Resource> puts = new ArrayList<>();
+        List<Change.Delete> deletes = new ArrayList<>();
+        touched.forEach((key, value) -> {
+            Optional<Resource> old = table.get(key);
+            if (value.isPresent()) {
+                table.put(value.get());
+                if (old.isEmpty() || !old.get().value().equals(value.get().value())) {
+                    puts.add(value.get());
+                }
+            } else if (old.isPresent()) {
+                table.remove(key);
+                deletes.add(new Change.Delete(key, old.get().value().service()));
+            }
+        });
+        return new StateChange(position, false, puts, deletes);
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/replica/ReplicaReport.java
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.replica;
+
+import java.util.Optional;
+import ottergauge.protocol.Address;
+import ottergauge.resources.Fault;
+import ottergauge.resources.LogPosition;
+import ottergauge.resources.ResourceKey;
+
+/** Something that people are told of; {@link Object#toString} gives one line for a log. */
+public sealed interface ReplicaReport {
+
+    /** A change was refused whole: what it touches keeps the value that it had. */
+    record ChangeRefused(long version, Fault fault) implements ReplicaReport {
+        @Override
+        public String toString() {
+            return "change " + version + " is refused: " + fault;
+        }
+    }
+
+    /** An entry of a snapshot or of a stored state was refused: it keeps the value that it had. */
+    record ResourceRefused(Optional<ResourceKey> key, Fault fault) implements ReplicaReport {
+        @Override
+        public String toString() {
+            return key.map(each -> "resource " + each).orElse("a resource") + " is refused: " + fault;
+        }
+    }
+
+    /** The whole state is larger than the replica takes: the one in force stays. */
+    record StateTooLarge(int resources, long bytes, ReplicaLimits limits) implements ReplicaReport {
+        @Override
+        public String toString() {
+            return "the state is refused: it has at least " + resources + " resources and " + bytes
+                + " bytes, " + limits.resources() + " and " + limits.bytes() + " are allowed";
+        }
+    }
+
+    /** An answer was not taken. */
+    record AnswerRefused(Address from, String why) implements ReplicaReport {
+        @Override
+        public String toString() {
+            return "an answer of " + from + " is not taken: " + why;
+        }
+    }
+
+    /** A call had no answer in time. */
+    record CallSilent(Address to) implements ReplicaReport {
+        @Override
+        public String toString() {
+            return "a call to " + to + " had no answer in time";
+        }
+    }
+
+    /** Whole snapshots are fetched from here on. */
+    record SnapshotBegun(Address from) implements ReplicaReport {
+        @Override
+        public String toString() {
+            return "a snapshot is fetched from " + from;
+        }
+    }
+
+    /** A state has come in force. */
+    record StateInForce(LogPosition position, int puts, int deletes) implements ReplicaReport {
+        @Override
+        public String toString() {
+            return "version " + position.version() + " of " + position.log() + " is in force: " + puts
+                + " put, " + deletes + " deleted";
+        }
+    }
+}
--- a/src/test/java/ottergauge/ArchitectureTest.java
+++ b/src/test/java/ottergauge/ArchitectureTest.java
@@ -84,6 +84,7 @@
         onlyUses("ottergauge.routing..", "java.lang..", "java.util..", "java.nio.charset");
         onlyUses("ottergauge.protocol..", "java..", "com.fasterxml.jackson.core..");
         onlyUses("ottergauge.resources..", "java..", "com.fasterxml.jackson.core..");
+        onlyUses("ottergauge.replica..", "java.lang..", "java.util..");
         onlyUses("ottergauge.settings..", "java..", "com.fasterxml.jackson.core..");
         onlyUses("ottergauge.migration..", "java.lang..", "java.util..");
         onlyUses("ottergauge.transport..", "java..", "io.vertx.core..", "io.netty..", "org.slf4j..");
--- /dev/null
+++ b/src/test/java/ottergauge/replica/ControlOrderTest.java
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.replica;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import ottergauge.protocol.Address;
+
+class ControlOrderTest {
+
+    private static final int NODES = 780;
+
+    private static List<ControlAddress> addresses(String... regions) {
+        List<ControlAddress> addresses = new ArrayList<>();
+        for (int i = 0; i < regions.length; i++) {
+            addresses.add(new ControlAddress(new Address("10.0.0." + i, 9000), regions[i]));
+        }
+        return addresses;
+    }
+
+    @Test
+    void theOwnRegionComesFirst() {
+        for (int i = 0; i < NODES; i++) {
+            ControlOrder order = new ControlOrder("n" + i, "b", addresses("a", "b", "c", "b"));
+            assertEquals("b", order.current().region());
+            assertTrue(order.next());
+            assertEquals("b", order.current().region());
+        }
+    }
+
+    @Test
+    void nodesSpreadOverTheProcessesOfARegionAndOverAllWhenTheirsIsLost() {
+        Map<ControlAddress, Integer> firsts = new HashMap<>();
+        Map<ControlAddress, Integer> seconds = new HashMap<>();
+        for (int i = 0; i < NODES; i++) {
+            ControlOrder order = new ControlOrder("n" + i, "a", addresses("a", "b", "c", "d"));
+            order.next();
+            seconds.merge(order.current(), 1, Integer::sum);
+            firsts.merge(new ControlOrder("n" + i, "a", addresses("a", "a", "a", "a")).current(), 1,
+                Integer::sum);
+        }
+        assertEquals(4, firsts.size());
+        firsts.values().forEach(nodes -> assertTrue(nodes > 140 && nodes < 250, firsts.toString()));
+        assertEquals(3, seconds.size());
+        seconds.values().forEach(nodes -> assertTrue(nodes > 200 && nodes < 320, seconds.toString()));
+    }
+
+    @Test
+    void aRoundAsksEachOnceAndTheOneThatAnsweredLast() {
+        ControlOrder order = new ControlOrder("n", "a", addresses("a", "b", "c", "d"));
+        order.next();
+        ControlAddress answered = order.current();
+        order.answered();
+        HashSet<ControlAddress> asked = new HashSet<>();
+        ControlAddress last = answered;
+        while (order.next()) {
+            last = order.current();
+            assertTrue(asked.add(last));
+        }
+        assertEquals(4, asked.size());
+        assertEquals(answered, last);
+        assertFalse(order.next());
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/replica/ModelLog.java
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.replica;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import ottergauge.resources.Change;
+import ottergauge.resources.ChangePage;
+import ottergauge.resources.LogPosition;
+import ottergauge.resources.Resource;
+import ottergauge.resources.ResourceChecks;
+import ottergauge.resources.ResourceKey;
+import ottergauge.resources.SnapshotPage;
+import ottergauge.resources.Subscription;
+
+/** A log of changes and what its control processes answer, by the plainest means: a fold of all changes. */
+final class ModelLog {
+
+    private final String id;
+    private final List<Change> changes = new ArrayList<>();
+
+    ModelLog(String id) {
+        this.id = id;
+    }
+
+    String id() {
+        return id;
+    }
+
+    long version() {
+        return changes.size();
+    }
+
+    /** Appends a change with the next version. */
+    void append(List<Change.Put> puts, List<Change.Delete> deletes) {
+        changes.add(new Change(version() + 1, puts, deletes));
+    }
+
+    /** The state at a version; with {@code skipBad}, of a reader that refuses what is wrong. */
+    Map<ResourceKey, Resource> stateAt(long version, boolean skipBad) {
+        Map<ResourceKey, Resource> state = new TreeMap<>();
+        for (Change change : changes.subList(0, (int) version)) {
+            if (!skipBad || ResourceChecks.fault(change).isEmpty()) {
+                change.puts().forEach(put ->
+                    state.put(put.key(), new Resource(put.key(), change.version(), put.value())));
+                change.deletes().forEach(delete -> state.remove(delete.key()));
+            }
+        }
+        return state;
+    }
+
+    /** The same, as far as a subscription follows it. */
+    Map<ResourceKey, Resource> stateAt(long version, Subscription subscription, boolean skipBad) {
+        Map<ResourceKey, Resource> state = stateAt(version, skipBad);
+        state.values().removeIf(each -> !subscription.follows(each.key(), each.value().service()));
+        return state;
+    }
+
+    /** The keys that the change with this version touches. */
+    List<ResourceKey> touchedBy(long version) {
+        Change change = changes.get((int) version - 1);
+        List<ResourceKey> keys = new ArrayList<>();
+        change.puts().forEach(put -> keys.add(put.key()));
+        change.deletes().forEach(delete -> keys.add(delete.key()));
+        return keys;
+    }
+
+    boolean isBad(long version) {
+        return ResourceChecks.fault(changes.get((int) version - 1)).isPresent();
+    }
+
+    /** What a process that has reached a version answers for changes: so many at the most. */
+    ChangePage changes(long after, long reached, Subscription subscription, int most) {
+        List<Change> page = new ArrayList<>();
+        long upTo = after;
+        while (upTo < reached && page.size() < most) {
+            followed(changes.get((int) upTo), subscription).ifPresent(page::add);
+            upTo++;
+        }
+        return new ChangePage(new LogPosition(id, upTo), page);
+    }
+
+    private static Optional<Change> followed(Change change, Subscription subscription) {
+        List<Change.Put> puts = change.puts().stream()
+            .filter(put -> subscription.follows(put.key(), put.value().service())).toList();
+        List<Change.Delete> deletes = change.deletes().stream()
+            .filter(delete -> subscription.follows(delete.key(), delete.service())).toList();
+        return puts.isEmpty() && deletes.isEmpty() ? Optional.empty()
+            : Optional.of(new Change(change.version(), puts, deletes));
+    }
+
+    /** Whether a process that has reached a version has anything for a subscription after another. */
+    boolean hasNews(long after, long reached, Subscription subscription) {
+        return !changes(after, reached, subscription, 1).changes().isEmpty();
+    }
+
+    /** A page of the state that a process has which has reached a version: so many resources at the most. */
+    SnapshotPage snapshot(Optional<ResourceKey> from, long reached, Subscription subscription, int most) {
+        List<Resource> rest = stateAt(reached, subscription, false).values().stream()
+            .filter(each -> from.isEmpty() || each.key().compareTo(from.get()) >= 0).toList();
+        boolean last = rest.size() <= most;
+        return new SnapshotPage(new LogPosition(id, reached), last ? rest : rest.subList(0, most),
+            last ? Optional.empty() : Optional.of(rest.get(most).key()));
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/replica/ReplicaDriver.java
@@ -0,0 +1,186 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.replica;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import ottergauge.protocol.Address;
+import ottergauge.resources.Change;
+import ottergauge.resources.ChangePage;
+import ottergauge.resources.LogPosition;
+import ottergauge.resources.Resource;
+import ottergauge.resources.ResourceChecks;
+import ottergauge.resources.ResourceKey;
+import ottergauge.resources.ResourceKind;
+import ottergauge.resources.ResourceValue;
+import ottergauge.resources.SnapshotPage;
+import ottergauge.resources.Subscription;
+import ottergauge.resources.TooOld;
+
+/** Drives a replica by hand: answers its calls, lets its timers fire, and keeps what it asked for. */
+final class ReplicaDriver {
+
+    static final long WITHIN = 4_800_000;
+    static final long BYTES_PER_SECOND = 10_000;
+    static final String LOG = "log";
+
+    final List<ReplicaEffect> effects = new ArrayList<>();
+    final Replica replica;
+    long now = 1_000_000;
+
+    ReplicaDriver() {
+        this(ReplicaLimits.DEFAULT, new Subscription(Set.of(), "default"));
+    }
+
+    ReplicaDriver(ReplicaLimits limits, Subscription subscription) {
+        List<ControlAddress> addresses = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            addresses.add(new ControlAddress(new Address("127.0.0.1", 9001 + i), "r" + i));
+        }
+        replica = new Replica(new ReplicaConfig("n1", "r1", addresses, subscription, WITHIN, BYTES_PER_SECOND,
+            30_000_000, limits), 7, ResourceChecks::fault, effects::add);
+    }
+
+    /** A replica that goes by version 10, of these tenants. */
+    static ReplicaDriver following(String... tenants) {
+        ReplicaDriver driver = new ReplicaDriver();
+        driver.follow(tenants);
+        return driver;
+    }
+
+    void follow(String... tenants) {
+        replica.start(now, Optional.empty());
+        List<Resource> resources = new ArrayList<>();
+        for (String tenant : tenants) {
+            resources.add(new Resource(key(tenant), 5, tenant(1)));
+        }
+        snapshotRead(10, null, resources.toArray(Resource[]::new));
+    }
+
+    static ResourceKey key(String tenant) {
+        return new ResourceKey(ResourceKind.TENANT, tenant);
+    }
+
+    static ResourceValue tenant(double weight) {
+        return new ResourceValue.Tenant(0, 0, 0, weight);
+    }
+
+    static Change.Put put(String tenant, double weight) {
+        return new Change.Put(key(tenant), tenant(weight));
+    }
+
+    static Change.Delete delete(String tenant) {
+        return new Change.Delete(key(tenant), "");
+    }
+
+    static Change change(long version, Change.Put... puts) {
+        return new Change(version, List.of(puts), List.of());
+    }
+
+    <T extends ReplicaEffect> List<T> all(Class<T> type) {
+        return effects.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    <T extends ReplicaEffect> T last(Class<T> type) {
+        List<T> all = all(type);
+        assertTrue(!all.isEmpty(), "none of " + type.getSimpleName() + " in " + effects);
+        return all.get(all.size() - 1);
+    }
+
+    /** The call that was made last. */
+    ReplicaEffect lastCall() {
+        return effects.stream().filter(each -> each instanceof ReplicaEffect.CallChanges
+            || each instanceof ReplicaEffect.CallSnapshot).reduce((one, other) -> other).orElseThrow();
+    }
+
+    long callNumber() {
+        return lastCall() instanceof ReplicaEffect.CallChanges call ? call.call()
+            : ((ReplicaEffect.CallSnapshot) lastCall()).call();
+    }
+
+    Address calledAddress() {
+        return lastCall() instanceof ReplicaEffect.CallChanges call ? call.to()
+            : ((ReplicaEffect.CallSnapshot) lastCall()).to();
+    }
+
+    ChangesQuery query() {
+        assertTrue(lastCall() instanceof ReplicaEffect.CallChanges, "calls for changes: " + lastCall());
+        return ((ReplicaEffect.CallChanges) lastCall()).query();
+    }
+
+    SnapshotQuery snapshotQuery() {
+        assertTrue(lastCall() instanceof ReplicaEffect.CallSnapshot, "calls for a snapshot: " + lastCall());
+        return ((ReplicaEffect.CallSnapshot) lastCall()).query();
+    }
+
+    void handle(ReplicaEvent event) {
+        replica.handle(now, event);
+    }
+
+    void changesRead(long upTo, Change... changes) {
+        changesRead(new ChangePage(new LogPosition(LOG, upTo), List.of(changes)));
+    }
+
+    void changesRead(ChangePage page) {
+        handle(new ReplicaEvent.ChangesRead(callNumber(), page));
+    }
+
+    /** A page of a snapshot of this version; {@code next} is null on the last one. */
+    void snapshotRead(long version, String next, Resource... resources) {
+        snapshotRead(LOG, version, next, resources);
+    }
+
+    void snapshotRead(String log, long version, String next, Resource... resources) {
+        handle(new ReplicaEvent.SnapshotRead(callNumber(), new SnapshotPage(new LogPosition(log, version),
+            List.of(resources), Optional.ofNullable(next).map(ReplicaDriver::key)), 2_000));
+    }
+
+    static Resource resource(String tenant, long version, double weight) {
+        return new Resource(key(tenant), version, tenant(weight));
+    }
+
+    void tooOld(String log, long oldest, long newest) {
+        handle(new ReplicaEvent.TooOldRead(callNumber(), new TooOld(log, oldest, newest)));
+    }
+
+    void failed() {
+        handle(new ReplicaEvent.CallFailed(callNumber()));
+    }
+
+    /** Lets the timer that was started last, of this kind, fire at its time. */
+    <T extends ReplicaTimer> void fire(Class<T> type) {
+        ReplicaEffect.StartTimer timer = timer(type);
+        now += timer.delay();
+        handle(new ReplicaEvent.TimerFired(timer.timer()));
+    }
+
+    <T extends ReplicaTimer> ReplicaEffect.StartTimer timer(Class<T> type) {
+        return all(ReplicaEffect.StartTimer.class).stream().filter(each -> type.isInstance(each.timer()))
+            .reduce((one, other) -> other).orElseThrow();
+    }
+
+    /** The tenants in force, by name and weight: what all changes so far have made of nothing. */
+    TreeMap<String, Double> inForce() {
+        TreeMap<String, Double> tenants = new TreeMap<>();
+        for (ReplicaEffect.TakeOver takeOver : all(ReplicaEffect.TakeOver.class)) {
+            takeOver.change().puts().forEach(each -> tenants.put(each.key().name(),
+                ((ResourceValue.Tenant) each.value()).weight()));
+            takeOver.change().deletes().forEach(each -> tenants.remove(each.key().name()));
+        }
+        return tenants;
+    }
+
+    List<String> reports() {
+        return all(ReplicaEffect.Report.class).stream().map(each -> each.report().toString()).toList();
+    }
+
+    void assertInForce(long version, String tenants) {
+        assertEquals(tenants, inForce().toString());
+        assertEquals(new LogPosition(LOG, version), replica.figures(now).position());
+    }
+}
--- /dev/null
+++ b/src/test/java/ottergauge/replica/ReplicaTest.java
@@ -0,0 +1,530 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.replica;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static ottergauge.replica.ReplicaDriver.LOG;
+import static ottergauge.replica.ReplicaDriver.change;
+import static ottergauge.replica.ReplicaDriver.delete;
+import static ottergauge.replica.ReplicaDriver.key;
+import static ottergauge.replica.ReplicaDriver.put;
+import static ottergauge.replica.ReplicaDriver.resource;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import ottergauge.protocol.Address;
+import ottergauge.replica.ReplicaEffect.CallChanges;
+import ottergauge.replica.ReplicaEffect.CallSnapshot;
+import ottergauge.replica.ReplicaEffect.GiveUpCall;
+import ottergauge.replica.ReplicaEffect.Keep;
+import ottergauge.replica.ReplicaEffect.Report;
+import ottergauge.replica.ReplicaEffect.StartTimer;
+import ottergauge.replica.ReplicaEffect.TakeOver;
+import ottergauge.resources.Change;
+import ottergauge.resources.ChangePage;
+import ottergauge.resources.Fault;
+import ottergauge.resources.LogPosition;
+import ottergauge.resources.Resource;
+import ottergauge.resources.ResourceKey;
+import ottergauge.resources.ResourceKind;
+import ottergauge.resources.ResourceValue;
+import ottergauge.resources.SnapshotPage;
+import ottergauge.resources.Subscription;
+import ottergauge.resources.UnreadableChange;
+import ottergauge.resources.UnreadableResource;
+
+class ReplicaTest {
+
+    // ---- Snapshots ----------------------------------------------------------------------------------
+
+    @Test
+    void aNodeWithNothingTakesASnapshotOfItsOwnRegionInPacedPages() {
+        ReplicaDriver node = new ReplicaDriver();
+        node.replica.start(node.now, Optional.empty());
+        assertEquals(new Address("127.0.0.1", 9002), node.calledAddress());
+        assertEquals(Optional.empty(), node.snapshotQuery().from());
+        assertEquals(10_000, node.snapshotQuery().maxBytes());
+        node.snapshotRead(10, "b", resource("a", 5, 1));
+        StartTimer pause = node.timer(ReplicaTimer.PauseOver.class);
+        assertEquals(200_000, pause.delay(), "2,000 bytes at 10,000 a second");
+        node.fire(ReplicaTimer.PauseOver.class);
+        assertEquals(Optional.of(key("b")), node.snapshotQuery().from());
+        assertEquals(Optional.of(LOG), node.snapshotQuery().log());
+        node.snapshotRead(10, null, resource("b", 6, 1));
+        node.assertInForce(10, "{a=1.0, b=1.0}");
+        assertTrue(node.last(TakeOver.class).change().whole());
+        assertEquals(10, node.query().after().version());
+    }
+
+    @Test
+    void pagesOfSeveralVersionsAreOneStateOnlyWithTheChangesBetween() {
+        ReplicaDriver node = new ReplicaDriver();
+        node.replica.start(node.now, Optional.empty());
+        node.snapshotRead(10, "b", resource("a", 5, 1));
+        node.fire(ReplicaTimer.PauseOver.class);
+        node.snapshotRead(13, null, resource("b", 13, 3));
+        assertTrue(node.all(TakeOver.class).isEmpty(), "in force before it is whole");
+        assertEquals(new LogPosition(LOG, 10), node.query().after());
+        node.changesRead(12, change(11, put("a", 2)), change(12, put("b", 2)));
+        assertTrue(node.all(TakeOver.class).isEmpty(), "in force before it is whole");
+        node.changesRead(14, change(13, put("b", 3)), change(14, put("c", 4)));
+        node.assertInForce(14, "{a=2.0, b=3.0, c=4.0}");
+        assertEquals(1, node.all(TakeOver.class).size());
+    }
+
+    @Test
+    void aPageThatIsOlderThanTheFirstIsAskedForElsewhere() {
+        ReplicaDriver node = new ReplicaDriver();
+        node.replica.start(node.now, Optional.empty());
+        node.snapshotRead(10, "b", resource("a", 5, 1));
+        node.fire(ReplicaTimer.PauseOver.class);
+        Address first = node.calledAddress();
+        node.snapshotRead(9, null, resource("b", 6, 1));
+        assertNotEquals(first, node.calledAddress());
+        assertEquals(Optional.of(key("b")), node.snapshotQuery().from());
+        node.snapshotRead(10, null, resource("b", 6, 1));
+        node.assertInForce(10, "{a=1.0, b=1.0}");
+    }
+
+    @Test
+    void aSnapshotOfALogThatIsGoneInTheMiddleBeginsAnew() {
+        ReplicaDriver node = new ReplicaDriver();
+        node.replica.start(node.now, Optional.empty());
+        node.snapshotRead(10, "b", resource("a", 5, 1));
+        node.fire(ReplicaTimer.PauseOver.class);
+        // The one that sent the first page, the two others, and that one again.
+        for (int i = 0; i < 4; i++) {
+            assertEquals(Optional.of(LOG), node.snapshotQuery().log(), "all are asked for the rest first");
+            node.snapshotRead("new", 2, null, resource("b", 1, 7));
+        }
+        assertEquals(Optional.empty(), node.snapshotQuery().log());
+        assertEquals(Optional.empty(), node.snapshotQuery().from());
+        node.snapshotRead("new", 2, null, resource("c", 1, 7));
+        assertEquals("{c=7.0}", node.inForce().toString());
+        assertEquals(new LogPosition("new", 2), node.replica.figures(node.now).position());
+    }
+
+    @Test
+    void aPageThatDoesNotAdvanceIsNotTaken() {
+        ReplicaDriver node = new ReplicaDriver();
+        node.replica.start(node.now, Optional.empty());
+        node.snapshotRead(10, "b", resource("b", 5, 1));
+        assertEquals(Optional.empty(), node.snapshotQuery().from(), "the page ends before its last entry");
+        node.snapshotRead(10, "c", resource("b", 5, 1), resource("a", 5, 1));
+        assertEquals(Optional.empty(), node.snapshotQuery().from(), "the page is out of order");
+        node.snapshotRead(10, "c", resource("b", 11, 1));
+        assertEquals(3, node.reports().stream().filter(each -> each.contains("not taken")).count());
+        node.fire(ReplicaTimer.PauseOver.class);
+        node.snapshotRead(10, "c", resource("b", 5, 1));
+        node.fire(ReplicaTimer.PauseOver.class);
+        node.snapshotRead(10, "c", resource("c", 5, 1));
+        node.snapshotRead(10, null, resource("b", 5, 1));
+        assertTrue(node.all(TakeOver.class).isEmpty(), "pages that begin before what was asked for");
+    }
+
+    @Test
+    void aBadEntryOfASnapshotKeepsItsLastGoodValue() {
+        ReplicaDriver node = ReplicaDriver.following("a", "b", "c");
+        node.tooOld(LOG, 90, 100);
+        Resource fine = resource("d", 80, 4);
+        UnreadableResource unreadable = new UnreadableResource(Optional.of(key("b")),
+            new Fault("resources[1].value", "x", "an object"));
+        node.handle(new ReplicaEvent.SnapshotRead(node.callNumber(), new SnapshotPage(new LogPosition(LOG, 100),
+            List.of(resource("a", 80, -1), fine), Optional.empty(), List.of(unreadable)), 100));
+        node.assertInForce(100, "{a=1.0, b=1.0, d=4.0}");
+        assertEquals(100, node.query().refused());
+        assertTrue(node.reports().contains("resource tenant a is refused: put[0].value.weight is a number "
+            + "from 0 to 1000000, not -1"), node.reports().toString());
+        node.changesRead(101, change(101, put("a", 3)));
+        assertEquals("{a=3.0, b=1.0, d=4.0}", node.inForce().toString());
+    }
+
+    @Test
+    void whatARefusedChangeLeftInAPageIsTakenBack() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        node.tooOld(LOG, 90, 100);
+        node.snapshotRead(100, "b", resource("a", 80, 5));
+        node.fire(ReplicaTimer.PauseOver.class);
+        node.snapshotRead(102, null, resource("b", 102, 6), resource("c", 80, 7));
+        node.changesRead(102, change(101, put("c", 7)), change(102, put("b", 6), put("a", -1)));
+        node.assertInForce(102, "{a=5.0, c=7.0}");
+        assertEquals(102, node.query().refused());
+    }
+
+    @Test
+    void aStateThatIsTooLargeIsNotTakenAndNotFetchedAgainAtOnce() {
+        ReplicaDriver node = new ReplicaDriver(new ReplicaLimits(2, 1 << 20),
+            new Subscription(Set.of(), "default"));
+        node.follow("a");
+        node.tooOld(LOG, 90, 100);
+        node.snapshotRead(100, null, resource("a", 80, 2), resource("b", 80, 2), resource("c", 80, 2));
+        node.assertInForce(10, "{a=1.0}");
+        assertTrue(node.timer(ReplicaTimer.PauseOver.class).delay() >= 30_000_000);
+        assertTrue(node.reports().get(node.reports().size() - 1).startsWith(
+            "the state is refused: it has at least 3 resources"), node.reports().toString());
+        node.fire(ReplicaTimer.PauseOver.class);
+        node.snapshotRead(100, null, resource("a", 80, 2), resource("b", 80, 2));
+        node.assertInForce(100, "{a=2.0, b=2.0}");
+    }
+
+    @Test
+    void aStateWithTooManyBytesIsNotTaken() {
+        ReplicaDriver node = new ReplicaDriver(new ReplicaLimits(1000, 1_000),
+            new Subscription(Set.of(), "default"));
+        node.replica.start(node.now, Optional.empty());
+        node.snapshotRead(100, null, resource("a".repeat(128), 80, 2), resource("b".repeat(128), 80, 2),
+            resource("c".repeat(128), 80, 2));
+        assertTrue(node.all(TakeOver.class).isEmpty());
+    }
+
+    @Test
+    void snapshotsThatLeadToNothingAreNotBegunAgainAtOnce() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        node.tooOld(LOG, 90, 100);
+        int calls = node.all(CallSnapshot.class).size();
+        node.snapshotRead(100, null, resource("a", 80, 2));
+        node.tooOld(LOG, 190, 200);
+        assertEquals(calls, node.all(CallSnapshot.class).size());
+        node.fire(ReplicaTimer.PauseOver.class);
+        assertEquals(calls + 1, node.all(CallSnapshot.class).size());
+    }
+
+    // ---- Changes ------------------------------------------------------------------------------------
+
+    @Test
+    void aPageOfChangesComesInForceAtOnce() {
+        ReplicaDriver node = ReplicaDriver.following("a", "b");
+        node.changesRead(13, change(11, put("a", 2), put("c", 1)), change(12, put("a", 3)),
+            new Change(13, List.of(), List.of(delete("b"))));
+        node.assertInForce(13, "{a=3.0, c=1.0}");
+        assertEquals(2, node.all(TakeOver.class).size());
+        StateChange change = node.last(TakeOver.class).change();
+        assertFalse(change.whole());
+        assertEquals(List.of(new Resource(key("a"), 12, ReplicaDriver.tenant(3)),
+            new Resource(key("c"), 11, ReplicaDriver.tenant(1))), change.puts());
+        assertEquals(List.of(delete("b")), change.deletes());
+        assertEquals(13, node.query().inForce());
+        assertEquals(new LogPosition(LOG, 13), node.query().after());
+    }
+
+    @Test
+    void aChangeAndItsReverseInOnePageAreNotTakenOver() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        node.changesRead(14, change(11, put("a", 2)), change(12, put("a", 1)), change(13, put("b", 1)),
+            new Change(14, List.of(), List.of(delete("b"))));
+        node.assertInForce(14, "{a=1.0}");
+        assertEquals(1, node.all(TakeOver.class).size());
+        assertEquals(14, node.query().after().version());
+    }
+
+    @Test
+    void changesThatTheNodeHasAreNotTakenAgain() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        node.changesRead(11, change(11, put("a", 2)));
+        node.changesRead(12, change(10, put("a", 9)), change(11, put("a", 8)), change(12, put("b", 1)));
+        node.assertInForce(12, "{a=2.0, b=1.0}");
+    }
+
+    @Test
+    void changesOutOfOrderAreNotTaken() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        Address first = node.calledAddress();
+        node.changesRead(12, change(12, put("a", 2)), change(11, put("a", 3)));
+        node.assertInForce(10, "{a=1.0}");
+        assertNotEquals(first, node.calledAddress());
+        node.changesRead(12, change(11, put("a", 3)), change(11, put("a", 2)));
+        node.changesRead(12, change(13, put("a", 3)));
+        node.assertInForce(10, "{a=1.0}");
+        assertEquals(10, node.query().after().version());
+    }
+
+    @Test
+    void anAnswerToAnotherCallIsNotTaken() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        ChangePage page = new ChangePage(new LogPosition(LOG, 11), List.of(change(11, put("a", 2))));
+        long call = node.callNumber();
+        node.fire(ReplicaTimer.CallDue.class);
+        node.handle(new ReplicaEvent.ChangesRead(call, page));
+        node.assertInForce(10, "{a=1.0}");
+        node.changesRead(page);
+        long calls = node.all(CallChanges.class).size();
+        node.handle(new ReplicaEvent.ChangesRead(node.callNumber() - 1, page));
+        assertEquals(calls, node.all(CallChanges.class).size());
+    }
+
+    @Test
+    void aBadChangeIsRefusedWholeAndALaterOneSetsWhatItTouched() {
+        ReplicaDriver node = ReplicaDriver.following("a", "b", "c");
+        node.changesRead(12, new Change(11, List.of(put("a", 2), put("b", -1)), List.of(delete("c"))),
+            change(12, put("d", 1)));
+        node.assertInForce(12, "{a=1.0, b=1.0, c=1.0, d=1.0}");
+        assertEquals(11, node.query().refused());
+        assertEquals(List.of("change 11 is refused: put[1].value.weight is a number from 0 to 1000000, not -1"),
+            node.reports().stream().filter(each -> each.contains("refused")).toList());
+        node.changesRead(13, change(13, put("b", 4)));
+        assertEquals("{a=1.0, b=4.0, c=1.0, d=1.0}", node.inForce().toString());
+    }
+
+    @Test
+    void aChangeThatCouldNotBeReadIsRefusedByItsVersion() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        node.changesRead(new ChangePage(new LogPosition(LOG, 13), List.of(change(11, put("a", 2)),
+            change(13, put("b", 1))), List.of(new UnreadableChange(12, new Fault("put[0].kind", "star",
+                "service, server, route, tenant or settings")))));
+        node.assertInForce(13, "{a=2.0, b=1.0}");
+        assertEquals(12, node.query().refused());
+        assertTrue(node.reports().contains("change 12 is refused: put[0].kind is service, server, route, "
+            + "tenant or settings, not star"), node.reports().toString());
+    }
+
+    @Test
+    void aChangeThatMakesTheStateTooLargeIsRefused() {
+        ReplicaDriver node = new ReplicaDriver(new ReplicaLimits(2, 1 << 20),
+            new Subscription(Set.of(), "default"));
+        node.follow("a");
+        node.changesRead(13, change(11, put("b", 1), put("c", 1)), change(12, put("b", 2)),
+            change(13, put("a", 3)));
+        node.assertInForce(13, "{a=3.0, b=2.0}");
+        assertEquals(11, node.query().refused());
+        node.changesRead(14, new Change(14, List.of(put("c", 1)), List.of(delete("a"))));
+        assertEquals("{b=2.0, c=1.0}", node.inForce().toString());
+    }
+
+    @Test
+    void whatIsNotFollowedIsPassedOver() {
+        Subscription one = new Subscription(Set.of("mine"), "default");
+        ReplicaDriver node = new ReplicaDriver(ReplicaLimits.DEFAULT, one);
+        node.follow("a");
+        ResourceKey route = new ResourceKey(ResourceKind.ROUTE, "r");
+        node.changesRead(11, change(11, new Change.Put(route,
+            new ResourceValue.Route("mine", "/", "c"))));
+        assertEquals(1, node.last(TakeOver.class).change().puts().size());
+        node.changesRead(12, change(12, new Change.Put(route,
+            new ResourceValue.Route("other", "/", "c"))));
+        assertEquals(List.of(new Change.Delete(route, "mine")), node.last(TakeOver.class).change().deletes());
+    }
+
+    // ---- Which process is asked -----------------------------------------------------------------------
+
+    @Test
+    void aProcessThatLagsBehindTheNodeIsNotFollowed() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        Address first = node.calledAddress();
+        node.tooOld(LOG, 1, 9);
+        assertNotEquals(first, node.calledAddress());
+        assertEquals(10, node.query().after().version());
+        node.changesRead(9);
+        node.tooOld(LOG, 1, 9);
+        node.tooOld(LOG, 1, 9);
+        assertEquals(new LogPosition(LOG, 10), node.replica.figures(node.now).position());
+        node.fire(ReplicaTimer.PauseOver.class);
+        assertEquals(10, node.query().after().version());
+        assertEquals(1, node.all(CallSnapshot.class).size(), "the one at the start");
+    }
+
+    @Test
+    void aSnapshotOfAProcessThatLagsBehindTheNodeIsNotTaken() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        node.tooOld(LOG, 90, 100);
+        node.snapshotRead(9, null, resource("a", 5, 8));
+        node.assertInForce(10, "{a=1.0}");
+        node.snapshotRead(100, null, resource("a", 50, 2));
+        node.assertInForce(100, "{a=2.0}");
+    }
+
+    @Test
+    void anotherLogIsFollowedOnceNoProcessHasTheNodes() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        node.tooOld("new", 1, 3);
+        assertEquals(LOG, node.query().after().log(), "another process may have it");
+        node.tooOld("new", 1, 3);
+        node.failed();
+        assertEquals(LOG, node.query().after().log(), "the first one again");
+        node.tooOld("new", 1, 3);
+        assertEquals(Optional.empty(), node.snapshotQuery().log());
+        node.snapshotRead("new", 3, null, resource("a", 2, 9));
+        assertEquals("{a=9.0}", node.inForce().toString());
+        assertEquals(new LogPosition("new", 3), node.replica.figures(node.now).position());
+        assertFalse(node.last(TakeOver.class).change().whole(), "only what differs");
+    }
+
+    @Test
+    void aCallThatIsSilentIsGivenUpAndMadeElsewhere() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        Address first = node.calledAddress();
+        long call = node.callNumber();
+        node.fire(ReplicaTimer.CallDue.class);
+        assertEquals(call, node.last(GiveUpCall.class).call());
+        assertNotEquals(first, node.calledAddress());
+        assertTrue(node.query().waits() < 200_000, "the first call there hardly waits");
+        assertEquals("a call to " + first + " had no answer in time",
+            node.reports().get(node.reports().size() - 1));
+    }
+
+    @Test
+    void afterAWholeRoundThereIsAPauseThatGrowsAndIsBounded() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        long longest = 0;
+        node.failed();
+        for (int round = 0; round < 8; round++) {
+            int timers = node.all(StartTimer.class).size();
+            for (int i = 0; i < 3; i++) {
+                node.failed();
+            }
+            StartTimer pause = node.timer(ReplicaTimer.PauseOver.class);
+            assertTrue(node.all(StartTimer.class).indexOf(pause) >= timers, "a pause after each round");
+            assertTrue(pause.delay() >= 300_000, "a pause of " + pause.delay());
+            assertTrue(pause.delay() <= 1_800_000, "a pause of " + pause.delay());
+            longest = Math.max(longest, pause.delay());
+            node.fire(ReplicaTimer.PauseOver.class);
+        }
+        assertTrue(longest >= 900_000, "the longest pause was " + longest);
+    }
+
+    @Test
+    void theNodeReturnsToItsFirstProcessAfterAWhile() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        Address first = node.calledAddress();
+        node.failed();
+        Address second = node.calledAddress();
+        node.changesRead(10);
+        assertEquals(second, node.calledAddress());
+        node.fire(ReplicaTimer.ReturnDue.class);
+        assertEquals(first, node.calledAddress());
+        node.failed();
+        assertEquals(second, node.calledAddress(), "back to the one that answered");
+        node.changesRead(10);
+        node.fire(ReplicaTimer.ReturnDue.class);
+        assertEquals(first, node.calledAddress());
+        node.changesRead(10);
+        assertEquals(first, node.calledAddress());
+    }
+
+    // ---- Time ---------------------------------------------------------------------------------------
+
+    @Test
+    void anEmptyAnswerThatComesAtOnceIsNotFollowedByACallAtOnce() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        int calls = node.all(CallChanges.class).size();
+        node.changesRead(10);
+        assertEquals(calls, node.all(CallChanges.class).size());
+        node.fire(ReplicaTimer.PauseOver.class);
+        assertEquals(calls + 1, node.all(CallChanges.class).size());
+        node.now += node.query().waits();
+        node.changesRead(10);
+        assertEquals(calls + 2, node.all(CallChanges.class).size());
+    }
+
+    @Test
+    void aNodeThatStoodStillReadsTheAnswerThatIsThere() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        Address first = node.calledAddress();
+        node.now += 10_000_000;
+        node.handle(new ReplicaEvent.TimerFired(node.timer(ReplicaTimer.CallDue.class).timer()));
+        assertTrue(node.all(GiveUpCall.class).isEmpty(), "given up unread");
+        node.changesRead(11, change(11, put("a", 2)));
+        node.assertInForce(11, "{a=2.0}");
+        assertEquals(first, node.calledAddress());
+    }
+
+    @Test
+    void aNodeThatStoodStillGivesUpACallThatIsSilentAllTheSame() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        node.now += 10_000_000;
+        node.handle(new ReplicaEvent.TimerFired(node.timer(ReplicaTimer.CallDue.class).timer()));
+        node.fire(ReplicaTimer.CallDue.class);
+        assertEquals(1, node.all(GiveUpCall.class).size());
+    }
+
+    @Test
+    void aClockSetBackChangesNothing() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        node.now -= 3_600_000_000L;
+        assertEquals(0, node.replica.figures(node.now).age());
+        node.changesRead(11, change(11, put("a", 2)));
+        node.assertInForce(11, "{a=2.0}");
+        node.changesRead(11);
+        node.fire(ReplicaTimer.PauseOver.class);
+        node.fire(ReplicaTimer.CallDue.class);
+        assertEquals(1, node.all(GiveUpCall.class).size());
+    }
+
+    @Test
+    void theFiguresTellHowOldTheStateIs() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        node.changesRead(10);
+        node.now += 2_000_000;
+        node.failed();
+        ReplicaFigures figures = node.replica.figures(node.now);
+        assertEquals(2_000_000, figures.age());
+        assertEquals(1, figures.resources());
+        assertTrue(figures.bytes() > 100);
+    }
+
+    // ---- What is kept -------------------------------------------------------------------------------
+
+    @Test
+    void theStateIsHandedOutOnceInAnIntervalAndAtTheEnd() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        node.changesRead(11, change(11, put("a", 2)));
+        assertTrue(node.all(Keep.class).isEmpty());
+        assertEquals(1, node.all(StartTimer.class).stream()
+            .filter(each -> each.timer() instanceof ReplicaTimer.KeepDue).count());
+        node.fire(ReplicaTimer.KeepDue.class);
+        assertEquals(new LogPosition(LOG, 11), node.last(Keep.class).state().position());
+        node.handle(new ReplicaEvent.Stopped());
+        assertEquals(1, node.all(Keep.class).size(), "nothing has changed since");
+        assertEquals(node.callNumber(), node.last(GiveUpCall.class).call());
+
+        ReplicaDriver other = ReplicaDriver.following("a");
+        other.handle(new ReplicaEvent.Stopped());
+        assertEquals(List.of(resource("a", 5, 1)), other.last(Keep.class).state().resources());
+        int effects = other.effects.size();
+        other.fire(ReplicaTimer.KeepDue.class);
+        other.fire(ReplicaTimer.CallDue.class);
+        assertEquals(effects, other.effects.size(), "nothing comes after the end");
+    }
+
+    @Test
+    void aNodeThatStartsAgainResumesByVersion() {
+        ReplicaDriver node = new ReplicaDriver();
+        Subscription all = new Subscription(Set.of(), "default");
+        node.replica.start(node.now, Optional.of(new StoredState(new LogPosition(LOG, 42), all,
+            List.of(resource("a", 40, 1)))));
+        node.assertInForce(42, "{a=1.0}");
+        assertTrue(node.last(TakeOver.class).change().whole());
+        assertEquals(new LogPosition(LOG, 42), node.query().after());
+        assertTrue(node.all(CallSnapshot.class).isEmpty());
+    }
+
+    @Test
+    void aKeptStateOfAnotherSubscriptionOrWithABadEntryIsServedButNotResumed() {
+        Subscription other = new Subscription(Set.of("one"), "default");
+        for (StoredState stored : List.of(new StoredState(new LogPosition(LOG, 42), other,
+            List.of(resource("a", 40, 1))), new StoredState(new LogPosition(LOG, 42),
+                new Subscription(Set.of(), "default"), List.of(resource("a", 40, 1), resource("b", 40, -1))))) {
+            ReplicaDriver node = new ReplicaDriver();
+            node.replica.start(node.now, Optional.of(stored));
+            node.assertInForce(42, "{a=1.0}");
+            node.snapshotRead(41, null, resource("a", 40, 1));
+            assertEquals(1, node.all(TakeOver.class).size(), "an older state of the same log");
+            node.snapshotRead(43, null, resource("a", 40, 1), resource("b", 43, 2));
+            assertEquals("{a=1.0, b=2.0}", node.inForce().toString());
+        }
+    }
+
+    @Test
+    void eachReportIsOneLine() {
+        ReplicaDriver node = ReplicaDriver.following("a");
+        node.changesRead(12, change(11, put("a", -1)));
+        node.tooOld("new", 1, 3);
+        node.failed();
+        node.failed();
+        assertFalse(node.all(Report.class).isEmpty());
+        node.reports().forEach(each -> assertFalse(each.contains("\n") || each.contains("LogPosition"), each));
+    }
+}
