--- a/src/main/java/ottergauge/replica/CallTimes.java
+++ b/src/main/java/ottergauge/replica/CallTimes.java
@@ -2,13 +2,13 @@
 package ottergauge.replica;
 
 /**
- * The times of calls, reckoned backwards from how soon a change has to be in force once a control process that
- * the node can reach has it. Spans are microseconds.
+ * The times of calls, reckoned backwards from how soon a change has to be in force once a control process
+ * that the node can reach has it. Spans are microseconds.
  *
- * <p>The longest way: the process that is asked falls silent as a call begins that waits as long as any, that
- * is noticed, two more processes are silent, and the fourth one answers: 18 + 4 + 2 * 8 parts of 48. A try to go
- * back to the first process adds 8. After all were away: a call that began just before is never answered, then
- * the longest pause, and the next call is answered: 22 + 18 parts.
+ * <p>The longest way: the process that is asked falls silent as a call begins that waits as long as any,
+ * that is noticed, two more processes are silent, and the fourth one answers: 18 + 4 + 2 * 8 parts of 48. A
+ * try to go back to the first process adds 8. After all were away: a call that began just before is never
+ * answered, then the longest pause, and the next call is answered: 22 + 18 parts.
  */
 record CallTimes(long within) {
 
--- a/src/main/java/ottergauge/replica/ControlOrder.java
+++ b/src/main/java/ottergauge/replica/ControlOrder.java
@@ -8,8 +8,8 @@
 
 /**
  * Which control process a node asks: those of its region first, then the others, both in the order of a
- * rendezvous hash, so that the nodes of a process that is lost spread over all that are left. A round asks each
- * of them once.
+ * rendezvous hash, so that the nodes of a process that is lost spread over all that are left. A round asks
+ * each of them once.
  */
 final class ControlOrder {
 
--- a/src/main/java/ottergauge/replica/Replica.java
+++ b/src/main/java/ottergauge/replica/Replica.java
@@ -20,11 +20,12 @@
 import ottergauge.resources.TooOld;
 
 /**
- * Follows the log of a group of control processes: one call out at a time, at one process, until that is lost.
- * It resumes by the position that it has, and takes a snapshot only where no process can go on from there.
+ * Follows the log of a group of control processes: one call out at a time, at one process, until that is
+ * lost. It resumes by the position that it has, and takes a snapshot only where no process can go on from
+ * there.
  *
- * <p>Within one log it never goes back: a process that has not reached the node's version is not followed. A
- * process with another log is, once none can be reached that has the node's.
+ * <p>Within one log it never goes back: a process that has not reached the node's version is not followed.
+ * A process with another log is, once none can be reached that has the node's.
  */
 public final class Replica {
 
--- a/src/main/java/ottergauge/replica/ReplicaLimits.java
+++ b/src/main/java/ottergauge/replica/ReplicaLimits.java
@@ -1,7 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.replica;
 
-/** The largest state that a replica takes: by number, and by bytes in memory as {@link ResourceSize} has them. */
+/**
+ * The largest state that a replica takes: by number, and by bytes in memory as {@link ResourceSize} has
+ * them.
+ */
 public record ReplicaLimits(int resources, long bytes) {
 
     /** Several times the state that the deployment is designed for. */
--- a/src/main/java/ottergauge/replica/ResourceSize.java
+++ b/src/main/java/ottergauge/replica/ResourceSize.java
@@ -7,7 +7,9 @@
 import ottergauge.resources.Resource;
 import ottergauge.resources.ResourceValue;
 
-/** Reckons what a resource takes in memory, its entry in a table included; rather too much than too little. */
+/**
+ * Reckons what a resource takes in memory, its entry in a table included; rather too much than too little.
+ */
 final class ResourceSize {
 
     /** Resource, key, value, version and entry of a map. */
--- a/src/main/java/ottergauge/replica/SnapshotAssembly.java
+++ b/src/main/java/ottergauge/replica/SnapshotAssembly.java
@@ -116,7 +116,10 @@
         return check.apply(new Change(resource.version(), List.of(put), List.of()));
     }
 
-    /** Takes the changes up to a version; those that were refused count for nothing, also where pages had them. */
+    /**
+     * Takes the changes up to a version; those that were refused count for nothing, also where pages had
+     * them.
+     */
     void apply(List<CheckedChange> changes, long upTo) {
         Set<Long> refusedVersions = new HashSet<>();
         for (CheckedChange each : changes) {
@@ -152,7 +155,8 @@
         if (versions.isEmpty()) {
             return;
         }
-        List<Resource> taken = table.all().stream().filter(each -> versions.contains(each.version())).toList();
+        List<Resource> taken = table.all().stream()
+            .filter(each -> versions.contains(each.version())).toList();
         for (Resource resource : taken) {
             table.remove(resource.key());
             refused.put(resource.key(), resource.version());
--- a/src/main/java/ottergauge/replica/StateInForce.java
+++ b/src/main/java/ottergauge/replica/StateInForce.java
@@ -63,8 +63,8 @@
     }
 
     /**
-     * Takes over a state that was kept. Changes can follow on it only if nothing is missing from it: otherwise
-     * false is given back.
+     * Takes over a state that was kept. Changes can follow on it only if nothing is missing from it:
+     * otherwise false is given back.
      */
     boolean restore(StoredState stored) {
         boolean complete = stored.subscription().equals(config.subscription());
--- a/src/test/java/ottergauge/replica/ReplicaHistoryTest.java
+++ b/src/test/java/ottergauge/replica/ReplicaHistoryTest.java
@@ -175,8 +175,10 @@
         Arbitrary<List<Trouble>> mixed =
             Arbitraries.of(Trouble.SILENT, Trouble.KILLED, Trouble.CUT_OFF).list().ofSize(PROCESSES);
         Arbitrary<List<Trouble>> killed = Arbitraries.of(Trouble.KILLED).list().ofSize(PROCESSES);
-        return Combinators.combine(Arbitraries.oneOf(mixed, killed), Arbitraries.longs().between(6 * SECOND, 20 * SECOND),
-            Arbitraries.longs().between(1, 15 * SECOND), Arbitraries.longs()).as((kinds, from, length, seed) -> {
+        return Combinators.combine(Arbitraries.oneOf(mixed, killed),
+            Arbitraries.longs().between(6 * SECOND, 20 * SECOND),
+            Arbitraries.longs().between(1, 15 * SECOND), Arbitraries.longs())
+            .as((kinds, from, length, seed) -> {
                 List<TroubleSpan> spans = new ArrayList<>();
                 for (int i = 0; i < PROCESSES; i++) {
                     spans.add(new TroubleSpan(i, kinds.get(i), from, from + length));
--- a/src/test/java/ottergauge/replica/ReplicaPlay.java
+++ b/src/test/java/ottergauge/replica/ReplicaPlay.java
@@ -118,7 +118,10 @@
             this::carryOut);
     }
 
-    /** Plays until an instant, the last part with a good network, from a state that was kept if there is one. */
+    /**
+     * Plays until an instant, the last part with a good network, from a state that was kept if there is
+     * one.
+     */
     void run(long length, long goodFrom, Optional<StoredState> stored) {
         networkIsBadUntil = script.networkIsBad() ? goodFrom : 0;
         restoresOther = stored.filter(each -> !each.subscription().equals(script.subscription())
@@ -172,7 +175,8 @@
         publishedAt.put(newest.version(), now);
         ModelLog log = newest;
         long version = newest.version();
-        processes.forEach(each -> schedule(now + random.nextLong(MOST_TRIP), () -> learn(each, log, version)));
+        processes.forEach(each ->
+            schedule(now + random.nextLong(MOST_TRIP), () -> learn(each, log, version)));
     }
 
     private void learn(ModelProcess process, ModelLog log, long version) {
--- a/src/test/java/ottergauge/replica/ReplicaTest.java
+++ b/src/test/java/ottergauge/replica/ReplicaTest.java
@@ -133,8 +133,9 @@
         Resource fine = resource("d", 80, 4);
         UnreadableResource unreadable = new UnreadableResource(Optional.of(key("b")),
             new Fault("resources[1].value", "x", "an object"));
-        node.handle(new ReplicaEvent.SnapshotRead(node.callNumber(), new SnapshotPage(new LogPosition(LOG, 100),
-            List.of(resource("a", 80, -1), fine), Optional.empty(), List.of(unreadable)), 100));
+        SnapshotPage page = new SnapshotPage(new LogPosition(LOG, 100),
+            List.of(resource("a", 80, -1), fine), Optional.empty(), List.of(unreadable));
+        node.handle(new ReplicaEvent.SnapshotRead(node.callNumber(), page, 100));
         node.assertInForce(100, "{a=1.0, b=1.0, d=4.0}");
         assertEquals(100, node.query().refused());
         assertTrue(node.reports().contains("resource tenant a is refused: put[0].value.weight is a number "
@@ -263,7 +264,8 @@
             change(12, put("d", 1)));
         node.assertInForce(12, "{a=1.0, b=1.0, c=1.0, d=1.0}");
         assertEquals(11, node.query().refused());
-        assertEquals(List.of("change 11 is refused: put[1].value.weight is a number from 0 to 1000000, not -1"),
+        assertEquals(List.of("change 11 is refused: put[1].value.weight is a number from 0 to 1000000, "
+            + "not -1"),
             node.reports().stream().filter(each -> each.contains("refused")).toList());
         node.changesRead(13, change(13, put("b", 4)));
         assertEquals("{a=1.0, b=4.0, c=1.0, d=1.0}", node.inForce().toString());
@@ -504,9 +506,11 @@
     @Test
     void aKeptStateOfAnotherSubscriptionOrWithABadEntryIsServedButNotResumed() {
         Subscription other = new Subscription(Set.of("one"), "default");
-        for (StoredState stored : List.of(new StoredState(new LogPosition(LOG, 42), other,
-            List.of(resource("a", 40, 1))), new StoredState(new LogPosition(LOG, 42),
-                new Subscription(Set.of(), "default"), List.of(resource("a", 40, 1), resource("b", 40, -1))))) {
+        LogPosition position = new LogPosition(LOG, 42);
+        Subscription all = new Subscription(Set.of(), "default");
+        for (StoredState stored : List.of(
+            new StoredState(position, other, List.of(resource("a", 40, 1))),
+            new StoredState(position, all, List.of(resource("a", 40, 1), resource("b", 40, -1))))) {
             ReplicaDriver node = new ReplicaDriver();
             node.replica.start(node.now, Optional.of(stored));
             node.assertInForce(42, "{a=1.0}");
@@ -525,6 +529,7 @@
         node.failed();
         node.failed();
         assertFalse(node.all(Report.class).isEmpty());
-        node.reports().forEach(each -> assertFalse(each.contains("\n") || each.contains("LogPosition"), each));
+        node.reports().forEach(each ->
+            assertFalse(each.contains("\n") || each.contains("LogPosition"), each));
     }
 }
