The control section of a node's configuration

Need: a node is told which control processes it follows, for what, within which time and bounds.

Without the section nothing of it exists. Two codes for connections to control processes.

--- a/src/main/java/ottergauge/protocol/NodeConfig.java
+++ b/src/main/java/ottergauge/protocol/NodeConfig.java
@@ -8,18 +8,20 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import ottergauge.DecisionApi.Settings;
 import ottergauge.settings.JsonTree;
 import ottergauge.settings.SettingsReader;
 
 /**
  * What a node is told at its start. Spans are microseconds; {@code sockets} bounds its descriptors;
- * {@code management} is the operators' address, null without one.
+ * {@code management} is the operators' address, null without one; without {@code control} the list of servers
+ * comes from discovery and the settings from here.
  */
 public record NodeConfig(String name, Address listen, Address discovery, long seed, int sockets,
                          HostList known, Settings settings, List<String> zones, List<String> kinds,
                          long connectTimeout, long connectionIdle, long askWithin, Address management,
-                         int memoryMb) {
+                         int memoryMb, Optional<ControlConfig> control) {
 
     private static final int HEXADECIMAL = 16;
     // A list may have a sixteenth of the memory while it is read: its servers take some three times as much.
@@ -80,7 +82,9 @@
             limits.micros("connectTimeoutMs", 1000), limits.micros("connIdleMs", 15_000),
             new SettingsReader(settings).child("rules").micros("mustAskInMs", 10_000),
             tree.get("management") == null ? null : Address.parse(root.text("management", null)),
-            (int) root.child("limits").number("memory_mb", 128));
+            (int) root.child("limits").number("memory_mb", 128),
+            tree.get("control") == null ? Optional.empty()
+                : Optional.of(ControlConfig.of(tree.get("control"))));
     }
 
     /** The largest list of servers, in bytes, that the node reads: it follows from the memory limit. */
@@ -92,13 +96,13 @@
     public NodeConfig managedAt(String address) throws ProtocolException {
         return management != null || address == null || address.isEmpty() ? this
             : new NodeConfig(name, listen, discovery, seed, sockets, known, settings, zones, kinds,
-                connectTimeout, connectionIdle, askWithin, Address.parse(address), memoryMb);
+                connectTimeout, connectionIdle, askWithin, Address.parse(address), memoryMb, control);
     }
 
     /** The same with a list that is newer. */
     public NodeConfig knowing(HostList list) {
         return new NodeConfig(name, listen, discovery, seed, sockets, list, settings, zones, kinds,
-            connectTimeout, connectionIdle, askWithin, management, memoryMb);
+            connectTimeout, connectionIdle, askWithin, management, memoryMb, control);
     }
 
     private static long seed(String hex) throws ProtocolException {
--- a/src/main/java/ottergauge/routing/CloseReason.java
+++ b/src/main/java/ottergauge/routing/CloseReason.java
@@ -39,6 +39,10 @@
     DISCOVERY_MOVED,
     /** Discovery did not answer in time on it. */
     WATCH_SILENT,
+    /** Another control process is asked now. */
+    CONTROL_MOVED,
+    /** A control process did not answer in time on it, or the call on it was given up for another process. */
+    CONTROL_SILENT,
     /** The node was short of sockets. */
     SOCKETS_SHORT,
     /** The node is stopping. */
--- a/src/main/java/ottergauge/transport/Rehearsal.java
+++ b/src/main/java/ottergauge/transport/Rehearsal.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
 import ottergauge.DecisionApi.Repeat;
@@ -74,7 +75,7 @@
         router = new Router(new NodeConfig(config.name(), config.listen(), config.discovery(), config.seed(),
             config.sockets(), new HostList(0, true, hosts), config.settings(), config.zones(), config.kinds(),
             config.connectTimeout(), config.connectionIdle(), config.askWithin(), null,
-            config.memoryMb()), this::carryOut);
+            config.memoryMb(), Optional.empty()), this::carryOut);
     }
 
     /** How many requests were made, and how many of them were served. */
