The log of changes: checks and orders submissions, keeps the state, answers subscribers

Need: a control process has to check a change whole, order it, and tell it to subscribers from memory, at a cost by the change and not by the 48,700 resources of the target.

Change: ottergauge.control.log.ChangeLog, a reducer with no clock, thread or I/O. A submission is checked against the state that it would leave (a service may come with its servers, and goes only when nothing names it), within bounds on entries, bytes, resources and all bytes, with 100 faults at most. The last 10,000 accepted and 200 refused ids give the same answer again; the two have bounds of their own, so that bad submissions can't have good ones forgotten. A value is encoded once and its bytes are shared by the state, the kept changes and every answer. Changes are found by version in a ring; a caller that is up to date costs a comparison. A caller that is ahead of this copy of the log gets an answer of its own: with several processes one may lag. An image holds all of it, remembered ids and kept changes included. ResourceCodec writes a value alone.

--- /dev/null
+++ b/control/src/main/java/ottergauge/control/log/Answer.java
@@ -0,0 +1,17 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.log;
+
+import ottergauge.resources.LogPosition;
+
+/** The answer to a subscriber that asks for changes. */
+public sealed interface Answer {
+
+    /** The changes that the subscription follows. */
+    record Changes(EncodedChanges page) implements Answer { }
+
+    /** Another log, or changes after the version that aren't kept any more: a snapshot is needed. */
+    record TooOld(LogPosition newest, long oldest) implements Answer { }
+
+    /** A version of this log that this copy of it has not reached yet. */
+    record Ahead(LogPosition newest) implements Answer { }
+}
--- /dev/null
+++ b/control/src/main/java/ottergauge/control/log/JsonBytes.java
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.log;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import ottergauge.resources.Change;
+import ottergauge.resources.LogPosition;
+import ottergauge.resources.ResourceKey;
+
+/**
+ * Puts answers together from values that were encoded once. Names and identifiers of logs consist of
+ * characters that JSON doesn't escape, which the checks on acceptance see to.
+ */
+final class JsonBytes {
+
+    /** An upper bound of what an entry has beside its name, its service and its value. */
+    static final int ENTRY_OVERHEAD = 80;
+    /** An upper bound of what a page or a change has beside its entries. */
+    static final int FRAME_OVERHEAD = 80;
+
+    private final ByteArrayOutputStream bytes;
+
+    JsonBytes(int expectedSize) {
+        bytes = new ByteArrayOutputStream(expectedSize);
+    }
+
+    byte[] toByteArray() {
+        return bytes.toByteArray();
+    }
+
+    JsonBytes text(String plain) {
+        bytes.writeBytes(plain.getBytes(StandardCharsets.US_ASCII));
+        return this;
+    }
+
+    JsonBytes position(LogPosition position) {
+        return text("{\"log\":\"" + position.log() + "\",\"version\":" + position.version());
+    }
+
+    JsonBytes key(ResourceKey key) {
+        return text("{\"kind\":\"" + key.kind().wireName() + "\",\"name\":\"" + key.name() + '"');
+    }
+
+    JsonBytes value(byte[] valueJson) {
+        text(",\"value\":");
+        bytes.writeBytes(valueJson);
+        return text("}");
+    }
+
+    JsonBytes put(StoredResource put) {
+        return key(put.key()).value(put.valueJson());
+    }
+
+    JsonBytes resource(StoredResource resource) {
+        return key(resource.key()).text(",\"version\":" + resource.version()).value(resource.valueJson());
+    }
+
+    JsonBytes delete(Change.Delete delete) {
+        return key(delete.key()).text(",\"service\":\"" + delete.service() + "\"}");
+    }
+
+    static int sizeOf(StoredResource resource) {
+        return ENTRY_OVERHEAD + resource.key().name().length() + resource.valueJson().length;
+    }
+
+    static int sizeOf(Change.Delete delete) {
+        return ENTRY_OVERHEAD + delete.key().name().length() + delete.service().length();
+    }
+
+    static int sizeOf(StoredChange change) {
+        int size = FRAME_OVERHEAD;
+        for (StoredResource put : change.puts()) {
+            size += sizeOf(put);
+        }
+        for (Change.Delete delete : change.deletes()) {
+            size += sizeOf(delete);
+        }
+        return size;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ottergauge/control/log/LogLimits.java
@@ -0,0 +1,17 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.log;
+
+/**
+ * How many of the newest changes are kept for subscribers that resume, by number and by bytes of JSON. The
+ * newest change is always kept. Processes of one group may differ in it: it decides no outcome.
+ */
+public record LogLimits(int mostChanges, long mostBytes) {
+
+    public static final LogLimits DEFAULT = new LogLimits(50_000, 32L << 20);
+
+    public LogLimits {
+        if (mostChanges < 1 || mostBytes < 1) {
+            throw new IllegalArgumentException("limits are at least 1: " + mostChanges + ", " + mostBytes);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/test/java/ottergauge/control/log/Submissions.java
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.log;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import ottergauge.DecisionApi.ServerState;
+import ottergauge.protocol.Address;
+import ottergauge.protocol.HostList.Host;
+import ottergauge.resources.Change;
+import ottergauge.resources.ResourceKey;
+import ottergauge.resources.ResourceKind;
+import ottergauge.resources.ResourceValue;
+import ottergauge.resources.Submission;
+
+/** Makes submissions for tests. */
+public final class Submissions {
+
+    private final String id;
+    private final List<Change.Put> puts = new ArrayList<>();
+    private final List<ResourceKey> deletes = new ArrayList<>();
+
+    private Submissions(String id) {
+        this.id = id;
+    }
+
+    public static Submissions of(String id) {
+        return new Submissions(id);
+    }
+
+    public static ResourceKey key(ResourceKind kind, String name) {
+        return new ResourceKey(kind, name);
+    }
+
+    public Submissions service(String name) {
+        return put(ResourceKind.SERVICE, name, new ResourceValue.Service("about " + name));
+    }
+
+    public Submissions server(String name, String service) {
+        return server(name, service, 1);
+    }
+
+    public Submissions server(String name, String service, double share) {
+        Address dial = new Address("127.0.0.1", 4000);
+        Host host = new Host(name, dial, "zone-a", "std", 0, ServerState.UP, share, 0);
+        return put(ResourceKind.SERVER, name, new ResourceValue.Server(service, host));
+    }
+
+    public Submissions route(String name, String service) {
+        return put(ResourceKind.ROUTE, name, new ResourceValue.Route(service, "/" + name, "read"));
+    }
+
+    public Submissions tenant(String name, double requestsPerSecond) {
+        return put(ResourceKind.TENANT, name, new ResourceValue.Tenant(requestsPerSecond, 10, 5, 1));
+    }
+
+    public Submissions settings(String name, double aimMs) {
+        Map<String, Object> requestClass = Map.of("name", "read", "aimMs", aimMs);
+        return put(ResourceKind.SETTINGS, name,
+            new ResourceValue.Settings(Map.of("classes", List.of(requestClass))));
+    }
+
+    public Submissions put(ResourceKind kind, String name, ResourceValue value) {
+        puts.add(new Change.Put(key(kind, name), value));
+        return this;
+    }
+
+    public Submissions delete(ResourceKey... keys) {
+        deletes.addAll(Arrays.asList(keys));
+        return this;
+    }
+
+    public Submissions delete(ResourceKind kind, String name) {
+        return delete(key(kind, name));
+    }
+
+    public Submission build() {
+        return new Submission(id, List.copyOf(puts), List.copyOf(deletes));
+    }
+}
--- a/src/main/java/ottergauge/resources/JsonMessage.java
+++ b/src/main/java/ottergauge/resources/JsonMessage.java
@@ -105,12 +105,19 @@
         }
     }
 
-    static byte[] write(Writer writer) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        try (JsonGenerator out = JSON.createGenerator(bytes)) {
+    /** Writes an object that has what the writer puts into it. */
+    static byte[] write(Writer fields) {
+        return writeValue(out -> {
             out.writeStartObject();
-            writer.write(out);
+            fields.write(out);
             out.writeEndObject();
+        });
+    }
+
+    static byte[] writeValue(Writer value) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator out = JSON.createGenerator(bytes)) {
+            value.write(out);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/main/java/ottergauge/resources/ResourceCodec.java
+++ b/src/main/java/ottergauge/resources/ResourceCodec.java
@@ -149,6 +149,11 @@
         });
     }
 
+    /** Writes a value alone, as it stands in an entry: what is encoded once can be told to many. */
+    public static byte[] write(ResourceValue value) {
+        return JsonMessage.writeValue(out -> ValueCodec.write(out, value));
+    }
+
     // ---- Submissions --------------------------------------------------------------------------------
 
     /**
--- a/src/test/java/ottergauge/resources/ResourceCodecTest.java
+++ b/src/test/java/ottergauge/resources/ResourceCodecTest.java
@@ -75,6 +75,14 @@
                 new Fault("put[0].value.requests_per_second", "-3", "a number from 0 on")))));
     }
 
+    @Test
+    void aValueAloneIsAsItStandsInAnEntry() {
+        String page = text(ResourceCodec.write(new ChangePage(new LogPosition("9f3c", 120),
+            List.of(serverChange()))));
+        String value = text(ResourceCodec.write(serverChange().puts().get(0).value()));
+        assertTrue(page.contains("\"name\":\"s-1\",\"value\":" + value + "}]"), value);
+    }
+
     @Test
     void unknownFieldsArePassedOver() throws ProtocolException {
         ChangePage page = ResourceCodec.readChanges(bytes("{\"later\":{\"a\":[1,{}]},"
