--- /dev/null
+++ b/control/src/main/java/ottergauge/control/client/CallFailedException.java
@@ -0,0 +1,12 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.client;
+
+/** No process could be reached or answered as expected; the message says so in one line. */
+public final class CallFailedException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    public CallFailedException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ottergauge/control/config/ConfigException.java
@@ -0,0 +1,23 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.config;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import ottergauge.resources.Fault;
+
+/** A configuration that isn't taken; carries all that is wrong with it. */
+public final class ConfigException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    private final transient List<Fault> faults;
+
+    ConfigException(List<Fault> faults) {
+        super(faults.stream().map(Fault::toString).collect(Collectors.joining("; ")));
+        this.faults = List.copyOf(faults);
+    }
+
+    public List<Fault> faults() {
+        return faults;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ottergauge/control/config/ConfigFields.java
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.config;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import ottergauge.protocol.Address;
+import ottergauge.protocol.ProtocolException;
+import ottergauge.resources.Fault;
+import ottergauge.resources.ResourceChecks;
+
+/** Reads the keys of one object of a configuration; reports what is wrong, and keys that none asked for. */
+final class ConfigFields {
+
+    private final Map<?, ?> fields;
+    private final String path;
+    private final List<Fault> faults;
+    private final Set<String> known = new HashSet<>();
+
+    ConfigFields(Map<?, ?> fields, String path, List<Fault> faults) {
+        this.fields = fields;
+        this.path = path;
+        this.faults = faults;
+    }
+
+    boolean has(String key) {
+        return value(key) != null;
+    }
+
+    String name(String key) {
+        if (value(key) instanceof String text && ResourceChecks.isName(text)) {
+            return text;
+        }
+        fault(key, ResourceChecks.NAME_FORM);
+        return "";
+    }
+
+    /** A text that may be absent, which is null then. */
+    String text(String key) {
+        Object value = value(key);
+        if (value == null || value instanceof String text && !text.isEmpty()) {
+            return (String) value;
+        }
+        fault(key, "a text of one character at least");
+        return null;
+    }
+
+    /** An address; null if there is none, which is reported. */
+    Address address(String key) {
+        if (value(key) instanceof String text) {
+            try {
+                return Address.parse(text);
+            } catch (ProtocolException e) {
+                // Reported below.
+            }
+        }
+        fault(key, "a numeric host, : and a port from 1 to 65535");
+        return null;
+    }
+
+    long whole(String key, long least, long most, long absent) {
+        Object value = value(key);
+        if (value == null) {
+            return absent;
+        }
+        boolean whole = value instanceof Double number && number == Math.rint(number);
+        if (whole && (Double) value >= least && (Double) value <= most) {
+            return ((Double) value).longValue();
+        }
+        fault(key, "a whole number from " + least + " to " + most);
+        return absent;
+    }
+
+    boolean flag(String key, boolean absent) {
+        Object value = value(key);
+        if (value == null || value instanceof Boolean) {
+            return value == null ? absent : (Boolean) value;
+        }
+        fault(key, "true or false");
+        return absent;
+    }
+
+    /** The objects of a list; what is none is reported and left out. */
+    List<ConfigFields> objects(String key, int most) {
+        Object value = value(key);
+        if (!(value instanceof List<?> list) || list.isEmpty() || list.size() > most
+            || !list.stream().allMatch(Map.class::isInstance)) {
+            fault(key, "a list of 1 to " + most + " objects");
+            return List.of();
+        }
+        List<ConfigFields> objects = new ArrayList<>();
+        for (int i = 0; i < list.size(); i++) {
+            objects.add(new ConfigFields((Map<?, ?>) list.get(i), path + key + "[" + i + "].", faults));
+        }
+        return objects;
+    }
+
+    ConfigFields object(String key) {
+        if (value(key) instanceof Map<?, ?> object) {
+            return new ConfigFields(object, path + key + ".", faults);
+        }
+        fault(key, "an object");
+        return new ConfigFields(Map.of(), path + key + ".", faults);
+    }
+
+    /** Reports all keys that were not asked for. */
+    void refuseOthers() {
+        for (Object key : fields.keySet()) {
+            if (!known.contains(key)) {
+                faults.add(new Fault(path + key, String.valueOf(fields.get(key)), "no key of this object"));
+            }
+        }
+    }
+
+    void fault(String key, String allowed) {
+        Object value = fields.get(key);
+        String found = value == null ? "nothing" : value instanceof Map ? "an object"
+            : value instanceof List ? "a list" : String.valueOf(value);
+        faults.add(new Fault(path + key, found, allowed));
+    }
+
+    private Object value(String key) {
+        known.add(key);
+        return fields.get(key);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ottergauge/control/discovery/DiscoveryClient.java
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.discovery;
+
+import java.io.IOException;
+import java.time.Duration;
+import ottergauge.control.client.HttpCalls;
+import ottergauge.control.client.HttpCalls.HttpAnswer;
+import ottergauge.protocol.Address;
+import ottergauge.protocol.Headers;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.ProtocolException;
+
+/** Follows discovery's list by a watch: whole at first, then what has changed. */
+public final class DiscoveryClient {
+
+    private static final int OK = 200;
+    private static final long WAIT_MS = 5_000;
+    private static final Duration CALL_WITHIN = Duration.ofMillis(WAIT_MS + 5_000);
+    private static final long MOST_LIST_BYTES = 32L << 20;
+    private static final long NO_VERSION = -1;
+
+    private final HttpCalls calls = new HttpCalls();
+    private final Address address;
+    private long version = NO_VERSION;
+
+    public DiscoveryClient(Address address) {
+        this.address = address;
+    }
+
+    /** Asks for what has changed since the last call and waits some time for it; the list may be empty. */
+    public HostList next() throws IOException, ProtocolException, InterruptedException {
+        String query = version < 0 ? "" : "?after=" + version + "&wait_ms=" + WAIT_MS;
+        HttpAnswer answer = calls.get(address, Headers.LIST_PATH + query, CALL_WITHIN, MOST_LIST_BYTES);
+        if (answer.status() != OK) {
+            throw new IOException("discovery answers with status " + answer.status());
+        }
+        HostList list = HostList.read(answer.body());
+        if (!list.whole() && list.seq() < version) {
+            version = NO_VERSION;
+            throw new ProtocolException("discovery has begun its versions anew, it is asked for all");
+        }
+        if (!list.whole() && version < 0) {
+            throw new ProtocolException("discovery was asked for all and told of changes only");
+        }
+        version = list.seq();
+        return list;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ottergauge/control/program/StatusCommand.java
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.program;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import ottergauge.control.client.ControlClient;
+import ottergauge.control.client.ProcessStatus;
+import ottergauge.protocol.Address;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Shows which node has which version in force. */
+@Command(name = "status", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+    description = "Show the control processes, and which node has which version in force.",
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = {" 0:nobody lags by more than is allowed",
+        " 1:somebody does, or no process could be reached", " 2:wrong usage"})
+final class StatusCommand implements Callable<Integer> {
+
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--to", paramLabel = "ADDRESS", required = true, split = ",",
+        converter = AddressConverter.class, description = "The control processes, all of which are asked.")
+    private List<Address> addresses;
+
+    @Option(names = "--most-behind", paramLabel = "VERSIONS", defaultValue = "0",
+        description = "By how many versions a node or a process may lag; ${DEFAULT-VALUE} unless given.")
+    private long mostBehind;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        ControlClient client = new ControlClient(addresses);
+        List<ProcessStatus> processes = new ArrayList<>();
+        for (Address address : addresses) {
+            try {
+                processes.add(client.status(address));
+            } catch (IOException e) {
+                out.println(address + " is not reached: " + e.getMessage());
+            }
+        }
+        if (processes.isEmpty()) {
+            spec.commandLine().getErr().println("no control process is reached");
+            return 1;
+        }
+        LagTable table = LagTable.of(processes);
+        table.print(out);
+        return table.mostBehind() > mostBehind ? 1 : 0;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ottergauge/control/program/package-info.java
@@ -0,0 +1,4 @@
+// SPDX-License-Identifier: Apache-2.0
+
+/** The command line of the control role. */
+package ottergauge.control.program;
--- /dev/null
+++ b/control/src/main/java/ottergauge/control/server/Parameters.java
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.server;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import ottergauge.resources.Fault;
+import ottergauge.resources.LogPosition;
+import ottergauge.resources.ResourceChecks;
+import ottergauge.resources.ResourceKey;
+import ottergauge.resources.Subscription;
+
+/** Reads the parameters of calls; unknown ones are passed over. */
+final class Parameters {
+
+    static final long MOST_WAIT_MS = 10_000;
+    static final int DEFAULT_PAGE_BYTES = 65_536;
+    /** With one change at least, however long, a page stays within what a node reads. */
+    static final int MOST_PAGE_BYTES = 512 * 1024;
+    static final int MOST_SERVICES = 1_000;
+
+    // The largest whole number that a JSON number tells exactly.
+    private static final long MOST_VERSION = 1L << 53;
+    private static final String DEFAULT_SETTINGS = "default";
+
+    private final MultiMap values;
+
+    private Parameters(MultiMap values) {
+        this.values = values;
+    }
+
+    static ChangesCall changes(HttpServerRequest request) throws CallException {
+        Parameters parameters = of(request);
+        String log = parameters.name("log").orElseThrow(() -> missing("log"));
+        LogPosition after = new LogPosition(log, parameters.whole("after", 0, MOST_VERSION, null));
+        return new ChangesCall(after, parameters.whole("wait_ms", 0, MOST_WAIT_MS, 0L),
+            parameters.pageBytes(), parameters.subscription(), parameters.report(log));
+    }
+
+    static SnapshotCall snapshot(HttpServerRequest request) throws CallException {
+        Parameters parameters = of(request);
+        return new SnapshotCall(parameters.name("log"), parameters.key("from"), parameters.pageBytes(),
+            parameters.subscription());
+    }
+
+    private static Parameters of(HttpServerRequest request) throws CallException {
+        try {
+            return new Parameters(request.params());
+        } catch (IllegalArgumentException e) {
+            throw new CallException(Status.BAD_REQUEST, "the query can't be decoded: "
+                + new Fault("it", String.valueOf(e.getMessage()), "percent-encoded").value());
+        }
+    }
+
+    private Optional<NodeReport> report(String log) throws CallException {
+        Optional<String> node = name("node");
+        if (node.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new NodeReport(node.get(), name("region").orElse(""), log,
+            whole("in_force", 0, MOST_VERSION, 0L), whole("refused", 0, MOST_VERSION, 0L)));
+    }
+
+    private int pageBytes() throws CallException {
+        return (int) whole("max_bytes", 1, MOST_PAGE_BYTES, (long) DEFAULT_PAGE_BYTES);
+    }
+
+    private Subscription subscription() throws CallException {
+        String services = values.get("services");
+        if (services == null || services.isEmpty()) {
+            return new Subscription(Set.of(), name("settings").orElse(DEFAULT_SETTINGS));
+        }
+        Set<String> names = new HashSet<>(Arrays.asList(services.split(",", -1)));
+        if (names.size() > MOST_SERVICES) {
+            throw bad("services", names.size() + " names", MOST_SERVICES + " names at most");
+        }
+        for (String name : names) {
+            if (!ResourceChecks.isName(name)) {
+                throw bad("services", name, "names with commas between them, each "
+                    + ResourceChecks.NAME_FORM);
+            }
+        }
+        return new Subscription(Set.copyOf(names), name("settings").orElse(DEFAULT_SETTINGS));
+    }
+
+    private Optional<String> name(String key) throws CallException {
+        String value = values.get(key);
+        if (value == null || value.isEmpty()) {
+            return Optional.empty();
+        }
+        if (!ResourceChecks.isName(value)) {
+            throw bad(key, value, ResourceChecks.NAME_FORM);
+        }
+        return Optional.of(value);
+    }
+
+    private Optional<ResourceKey> key(String parameter) throws CallException {
+        String value = values.get(parameter);
+        if (value == null || value.isEmpty()) {
+            return Optional.empty();
+        }
+        Optional<ResourceKey> key = ResourceKey.ofPath(value)
+            .filter(each -> ResourceChecks.isName(each.name()));
+        if (key.isEmpty()) {
+            throw bad(parameter, value, "a kind, / and a name");
+        }
+        return key;
+    }
+
+    private long whole(String key, long least, long most, Long absent) throws CallException {
+        String value = values.get(key);
+        if (value == null && absent != null) {
+            return absent;
+        }
+        if (value == null) {
+            throw missing(key);
+        }
+        try {
+            long number = Long.parseLong(value);
+            if (number >= least && number <= most) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Told below.
+        }
+        throw bad(key, value, "a whole number from " + least + " to " + most);
+    }
+
+    private static CallException missing(String key) {
+        return new CallException(Status.BAD_REQUEST, key + " is missing");
+    }
+
+    private static CallException bad(String key, String value, String allowed) {
+        return new CallException(Status.BAD_REQUEST, new Fault(key, value, allowed).toString());
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ottergauge/control/server/StatusJson.java
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.server;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Optional;
+import ottergauge.control.consensus.Role;
+import ottergauge.resources.LogPosition;
+
+/** The body of an answer to a call for the status. */
+final class StatusJson {
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private StatusJson() {
+    }
+
+    static byte[] of(String name, Role role, Optional<String> leader, Optional<LogPosition> position,
+                     long oldest, List<NodeTable.Heard> nodes, long nowMs) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator out = JSON.createGenerator(bytes)) {
+            out.writeStartObject();
+            out.writeStringField("name", name);
+            out.writeStringField("log", position.map(LogPosition::log).orElse(""));
+            out.writeNumberField("version", position.map(LogPosition::version).orElse(0L));
+            out.writeNumberField("oldest", oldest);
+            out.writeStringField("role", role.wireName());
+            out.writeStringField("leader", leader.orElse(""));
+            out.writeArrayFieldStart("nodes");
+            for (NodeTable.Heard heard : nodes) {
+                write(out, heard, nowMs);
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void write(JsonGenerator out, NodeTable.Heard heard, long nowMs) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("name", heard.report().name());
+        out.writeStringField("region", heard.report().region());
+        out.writeStringField("log", heard.report().log());
+        out.writeNumberField("in_force", heard.report().inForce());
+        out.writeNumberField("refused", heard.report().refused());
+        out.writeNumberField("heard_ms", nowMs - heard.atMs());
+        out.writeEndObject();
+    }
+}
--- /dev/null
+++ b/control/src/main/java/ottergauge/control/server/VertxTimers.java
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.server;
+
+import io.vertx.core.Vertx;
+
+/** Timers of the event loop. */
+final class VertxTimers implements Timers {
+
+    private final Vertx vertx;
+
+    VertxTimers(Vertx vertx) {
+        this.vertx = vertx;
+    }
+
+    @Override
+    public long start(long delayMs, Runnable task) {
+        return vertx.setTimer(Math.max(1, delayMs), fired -> task.run());
+    }
+
+    @Override
+    public void cancel(long timer) {
+        vertx.cancelTimer(timer);
+    }
+}
--- /dev/null
+++ b/control/src/test/java/ottergauge/control/discovery/ServiceReconcilerTest.java
@@ -0,0 +1,231 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import ottergauge.DecisionApi.ServerState;
+import ottergauge.control.log.ChangeLog;
+import ottergauge.control.log.LogLimits;
+import ottergauge.control.log.Outcome;
+import ottergauge.control.log.Submissions;
+import ottergauge.protocol.Address;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.HostList.Host;
+import ottergauge.resources.Change;
+import ottergauge.resources.Resource;
+import ottergauge.resources.ResourceKind;
+import ottergauge.resources.ResourceValue.Server;
+import ottergauge.resources.Submission;
+import ottergauge.resources.Subscription;
+
+/** What is published so that the log has the servers that discovery lists. */
+class ServiceReconcilerTest {
+
+    private static final String SERVICE = "checkout";
+
+    private final ServiceReconciler reconciler = new ServiceReconciler(SERVICE);
+    private final ChangeLog log = new ChangeLog("a1", LogLimits.DEFAULT);
+    private int ids;
+
+    private static Host host(String name, ServerState state, double share) {
+        return new Host(name, new Address("127.0.0.1", 4000), "zone-a", "std", 0, state, share, 0);
+    }
+
+    private static Host up(String name) {
+        return host(name, ServerState.UP, 1);
+    }
+
+    private void list(boolean whole, Host... hosts) {
+        reconciler.takeList(new HostList(1, whole, List.of(hosts)));
+    }
+
+    private static List<Resource> state(ChangeLog log) {
+        return log.snapshot(Optional.empty(), new Subscription(Set.of(SERVICE), "default"), 1 << 20)
+            .page().resources();
+    }
+
+    private static Map<String, Host> servers(ChangeLog log) {
+        return state(log).stream().filter(each -> each.key().kind() == ResourceKind.SERVER)
+            .collect(Collectors.toMap(each -> each.key().name(), each -> ((Server) each.value()).host()));
+    }
+
+    private Optional<Submission> next() {
+        ids++;
+        return reconciler.next("id-" + ids);
+    }
+
+    /** Publishes until nothing is left to be published; gives the number of changes. */
+    private int publishAll() {
+        int changes = 0;
+        Optional<Submission> next = next();
+        while (next.isPresent()) {
+            assertTrue(next.get().puts().size() + next.get().deletes().size() <= 501, "too many entries");
+            Outcome outcome = log.apply(next.get());
+            if (outcome instanceof Outcome.Invalid invalid) {
+                reconciler.refuse(next.get(), invalid.faults());
+            } else {
+                reconciler.accepted(next.get());
+                changes++;
+            }
+            next = next();
+            assertTrue(ids < 1_000, "no end of submissions");
+        }
+        return changes;
+    }
+
+    @Test
+    void nothingIsPublishedBeforeDiscoveryWasHeardWhole() {
+        log.apply(Submissions.of("a").service(SERVICE).server("s-1", SERVICE).build());
+        reconciler.takeState(state(log));
+        assertEquals(Optional.empty(), next());
+        list(false, up("s-2"));
+        assertEquals(Optional.empty(), next());
+        list(true, up("s-2"));
+        assertEquals(1, publishAll());
+        assertEquals(Map.of("s-2", up("s-2")), servers(log));
+    }
+
+    @Test
+    void theFirstChangeBringsTheService() {
+        reconciler.takeState(state(log));
+        list(true, up("s-1"), up("s-2"));
+        Submission first = next().orElseThrow();
+        assertEquals(ResourceKind.SERVICE, first.puts().get(0).key().kind());
+        assertEquals(3, first.puts().size());
+    }
+
+    @Test
+    void onlyWhatDiffersIsPublished() {
+        reconciler.takeState(state(log));
+        list(true, up("s-1"), up("s-2"), up("s-3"));
+        publishAll();
+        list(false, up("s-1"), host("s-2", ServerState.DRAINING, 1), host("s-3", ServerState.GONE, 1));
+        Submission next = next().orElseThrow();
+        assertEquals(List.of(new Change.Put(Submissions.key(ResourceKind.SERVER, "s-2"),
+            new Server(SERVICE, host("s-2", ServerState.DRAINING, 1)))), next.puts());
+        assertEquals(List.of(Submissions.key(ResourceKind.SERVER, "s-3")), next.deletes());
+        publishAll();
+        list(true, up("s-1"), host("s-2", ServerState.DRAINING, 1));
+        assertEquals(Optional.empty(), next());
+    }
+
+    @Test
+    void whatOthersChangeIsPutRight() {
+        reconciler.takeState(state(log));
+        list(true, up("s-1"), up("s-2"));
+        publishAll();
+        Submission other = Submissions.of("other").delete(ResourceKind.SERVER, "s-1")
+            .server("s-2", SERVICE, 7).server("s-9", SERVICE).build();
+        log.apply(other);
+        reconciler.takeChange(new Change(9, other.puts(), List.of(
+            new Change.Delete(Submissions.key(ResourceKind.SERVER, "s-1"), SERVICE))));
+        publishAll();
+        assertEquals(Map.of("s-1", up("s-1"), "s-2", up("s-2")), servers(log));
+    }
+
+    @Test
+    void aLogThatHasBegunAnewGetsAllAgain() {
+        reconciler.takeState(state(log));
+        list(true, up("s-1"), up("s-2"));
+        publishAll();
+        reconciler.takeState(List.of());
+        Submission all = next().orElseThrow();
+        assertEquals(3, all.puts().size());
+    }
+
+    @Test
+    void longListsArePublishedInSeveralChanges() {
+        reconciler.takeState(state(log));
+        list(true, IntStream.range(0, 1_200).mapToObj(i -> up("s-" + i)).toArray(Host[]::new));
+        assertEquals(3, publishAll());
+        assertEquals(1_200, servers(log).size());
+        list(true);
+        publishAll();
+        assertEquals(Map.of(), servers(log));
+    }
+
+    @Test
+    void aServerOfAnotherServiceIsLeftOutAlone() {
+        log.apply(Submissions.of("a").service("search").server("s-2", "search").build());
+        reconciler.takeState(state(log));
+        list(true, up("s-1"), up("s-2"), up("s-3"));
+        publishAll();
+        assertEquals(Map.of("s-1", up("s-1"), "s-3", up("s-3")), servers(log));
+        list(false, host("s-2", ServerState.UP, 2));
+        assertTrue(next().isPresent(), "a new value is tried again");
+    }
+
+    @Test
+    void aMalformedEntryIsLeftOutAlone() {
+        reconciler.takeState(state(log));
+        list(true, up("s-1"), up("no name"), host("s-2", ServerState.UP, -1));
+        Submission all = next().orElseThrow();
+        assertEquals(2, reconciler.refuseMalformed(all).size());
+        assertEquals(1, publishAll());
+        assertEquals(Map.of("s-1", up("s-1")), servers(log));
+    }
+
+    /** What happens to the two lists. */
+    private record Step(int kind, int name, int share) { }
+
+    @Provide
+    Arbitrary<List<Step>> histories() {
+        return Combinators.combine(Arbitraries.integers().between(0, 5), Arbitraries.integers().between(0, 5),
+            Arbitraries.integers().between(1, 3)).as(Step::new).list().ofMaxSize(60);
+    }
+
+    @Property(tries = 300, seed = "61")
+    void inTheEndTheLogHasWhatDiscoveryLists(@ForAll("histories") List<Step> history) {
+        ServiceReconcilerTest play = new ServiceReconcilerTest();
+        play.reconciler.takeState(List.of());
+        Map<String, Host> listed = new HashMap<>();
+        for (Step step : history) {
+            Host host = host("s-" + step.name(), ServerState.UP, step.share());
+            switch (step.kind()) {
+                case 0 -> play.tell(listed, host);
+                case 1 -> play.tell(listed, host(host.name(), ServerState.GONE, 1));
+                case 2 -> play.list(true, listed.values().toArray(Host[]::new));
+                case 3 -> play.publishAll();
+                case 4 -> play.meddle(host);
+                default -> play.reconciler.takeState(state(play.log));
+            }
+        }
+        play.list(true, listed.values().toArray(Host[]::new));
+        play.publishAll();
+        assertEquals(listed, servers(play.log));
+        assertFalse(play.next().isPresent());
+    }
+
+    private void tell(Map<String, Host> listed, Host host) {
+        if (host.state() == ServerState.GONE) {
+            listed.remove(host.name());
+        } else {
+            listed.put(host.name(), host);
+        }
+        list(false, host);
+    }
+
+    // Somebody else puts a server of this service, and the reconciler hears of it.
+    private void meddle(Host host) {
+        Submission other = Submissions.of("meddled-" + ids++).service(SERVICE)
+            .server(host.name(), SERVICE, host.share() + 10).build();
+        log.apply(other);
+        reconciler.takeChange(new Change(1, other.puts(), List.of()));
+    }
+}
--- /dev/null
+++ b/control/src/test/java/ottergauge/control/program/StubDiscovery.java
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.program;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import ottergauge.DecisionApi.ServerState;
+import ottergauge.protocol.Address;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.HostList.Host;
+
+/** Stands in for discovery: tells its list whole, or what has changed after a version, once it has. */
+final class StubDiscovery implements AutoCloseable {
+
+    private static final Pattern AFTER = Pattern.compile("after=(\\d+)&wait_ms=(\\d+)");
+
+    private final HttpServer server;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final Map<String, Long> versions = new LinkedHashMap<>();
+    private final List<Host> gone = new ArrayList<>();
+    private long version = 100;
+
+    StubDiscovery() throws IOException {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.createContext("/registry/instances", this::answer);
+        server.setExecutor(threads);
+        server.start();
+    }
+
+    static Host up(String name) {
+        return new Host(name, new Address("127.0.0.1", 4000), "zone-a", "std", 0, ServerState.UP, 1, 0);
+    }
+
+    static Host gone(String name) {
+        return new Host(name, new Address("127.0.0.1", 4000), "zone-a", "std", 0, ServerState.GONE, 1, 0);
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    synchronized void tell(Host... changed) {
+        version++;
+        for (Host host : changed) {
+            versions.put(host.name(), version);
+            if (host.state() == ServerState.GONE) {
+                hosts.remove(host.name());
+                gone.add(host);
+            } else {
+                hosts.put(host.name(), host);
+            }
+        }
+        notifyAll();
+    }
+
+    /** Another discovery in its place, which counts from 1. */
+    synchronized void beginAnew(Host... all) {
+        hosts.clear();
+        versions.clear();
+        gone.clear();
+        version = 0;
+        tell(all);
+    }
+
+    private void answer(HttpExchange call) throws IOException {
+        Matcher watch = AFTER.matcher(String.valueOf(call.getRequestURI().getQuery()));
+        byte[] body = watch.find() ? changes(Long.parseLong(watch.group(1)), Long.parseLong(watch.group(2)))
+            : whole();
+        call.sendResponseHeaders(200, body.length);
+        call.getResponseBody().write(body);
+        call.close();
+    }
+
+    private synchronized byte[] whole() {
+        return new HostList(version, true, List.copyOf(hosts.values())).json();
+    }
+
+    private synchronized byte[] changes(long after, long waitMs) {
+        long until = System.nanoTime() / 1_000_000 + waitMs;
+        while (version == after && System.nanoTime() / 1_000_000 < until) {
+            try {
+                wait(Math.max(1, until - System.nanoTime() / 1_000_000));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                break;
+            }
+        }
+        List<Host> changed = new ArrayList<>();
+        gone.stream().filter(host -> versions.get(host.name()) > after).forEach(changed::add);
+        hosts.values().stream().filter(host -> versions.get(host.name()) > after).forEach(changed::add);
+        return new HostList(version, false, changed).json();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        threads.shutdownNow();
+    }
+}
--- /dev/null
+++ b/control/src/test/java/ottergauge/control/program/SubmissionFileTest.java
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.program;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import ottergauge.control.log.ChangeLog;
+import ottergauge.control.log.LogLimits;
+import ottergauge.control.log.Outcome;
+import ottergauge.control.log.Submissions;
+import ottergauge.control.program.SubmissionFile.Part;
+import ottergauge.protocol.ProtocolException;
+import ottergauge.resources.ResourceCodec;
+import ottergauge.resources.ResourceKind;
+import ottergauge.resources.ResourceValue;
+import ottergauge.resources.Submission;
+
+/** Files that are published, whole or in parts. */
+class SubmissionFileTest {
+
+    @TempDir
+    private Path folder;
+
+    private SubmissionFile file(Submission submission) throws IOException {
+        return SubmissionFile.read(Files.write(folder.resolve("file.json"), ResourceCodec.write(submission)));
+    }
+
+    private static Submissions many() {
+        Submissions many = Submissions.of("load");
+        for (int i = 0; i < 1_300; i++) {
+            many.server("s-" + i, "checkout");
+        }
+        return many.service("checkout");
+    }
+
+    private static int apply(ChangeLog log, List<Part> parts) throws ProtocolException {
+        for (Part part : parts) {
+            Submission submission = ResourceCodec.readSubmission(part.body());
+            assertEquals(part.id(), submission.id());
+            Outcome outcome = log.apply(submission);
+            assertInstanceOf(Outcome.Accepted.class, outcome, outcome::toString);
+        }
+        return log.size();
+    }
+
+    @Test
+    void aFileIsOneSubmission() throws IOException, ProtocolException {
+        Submission submission = Submissions.of("a").service("checkout").tenant("gold", 2.5).build();
+        assertEquals(submission, ResourceCodec.readSubmission(file(submission).whole().body()));
+    }
+
+    @Test
+    void partsCanBeAppliedOneAfterTheOther() throws IOException, ProtocolException {
+        ChangeLog log = new ChangeLog("a1", LogLimits.DEFAULT);
+        List<Part> parts = file(many().build()).split();
+        assertEquals(List.of("load:1", "load:2", "load:3"), parts.stream().map(Part::id).toList());
+        assertEquals(1_301, apply(log, parts));
+        Submissions none = Submissions.of("unload").delete(ResourceKind.SERVICE, "checkout");
+        for (int i = 0; i < 1_300; i++) {
+            none.delete(ResourceKind.SERVER, "s-" + i);
+        }
+        assertEquals(0, apply(log, file(none.build()).split()));
+    }
+
+    @Test
+    void aSecondTimeChangesNothing() throws IOException, ProtocolException {
+        ChangeLog log = new ChangeLog("a1", LogLimits.DEFAULT);
+        apply(log, file(many().build()).split());
+        long version = log.position().version();
+        apply(log, file(many().build()).split());
+        assertEquals(version, log.position().version());
+    }
+
+    @Test
+    void partsAreBoundedByBytes() throws IOException {
+        Submissions longValues = Submissions.of("long");
+        for (int i = 0; i < 600; i++) {
+            longValues.put(ResourceKind.SERVICE, "s-" + i, new ResourceValue.Service("d".repeat(1_000)));
+        }
+        List<Part> parts = file(longValues.build()).split();
+        assertTrue(parts.stream().allMatch(part -> part.body().length < ResourceCodec.MOST_SUBMISSION_BYTES));
+    }
+
+    @Test
+    void aFileWithoutAnIdGetsOne() throws IOException, ProtocolException {
+        Path file = Files.writeString(folder.resolve("file.json"),
+            "{\"put\":[{\"kind\":\"service\",\"name\":\"checkout\",\"value\":{}}]}");
+        Part first = SubmissionFile.read(file).whole();
+        assertEquals(first.id(), ResourceCodec.readSubmission(first.body()).id());
+        assertTrue(!first.id().equals(SubmissionFile.read(file).whole().id()));
+    }
+
+    @Test
+    void whatIsNoObjectOrListIsToldInOneLine() throws IOException {
+        Path list = Files.writeString(folder.resolve("list.json"), "[]");
+        assertThrows(IOException.class, () -> SubmissionFile.read(list));
+        Path wrong = Files.writeString(folder.resolve("wrong.json"), "{\"put\":3}");
+        assertThrows(IOException.class, () -> SubmissionFile.read(wrong));
+    }
+}
--- /dev/null
+++ b/control/src/test/java/ottergauge/control/server/LimitedLogTest.java
@@ -0,0 +1,29 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.server;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+/** Warnings are bounded by the second. */
+class LimitedLogTest {
+
+    @Test
+    void twentyLinesASecondAreWrittenAndTheRestIsCounted() {
+        List<String> written = new ArrayList<>();
+        AtomicLong nowMs = new AtomicLong(5_000);
+        LimitedLog log = new LimitedLog(written::add, nowMs::get);
+        for (int i = 0; i < 100; i++) {
+            log.warn("line " + i);
+        }
+        assertEquals(20, written.size());
+        nowMs.set(6_000);
+        log.warn("next");
+        assertEquals(List.of("80 lines were left out", "next"), written.subList(20, 22));
+        log.warn("after");
+        assertEquals(23, written.size());
+    }
+}
--- /dev/null
+++ b/control/src/test/java/ottergauge/control/server/SnapshotQueueTest.java
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.server;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import ottergauge.control.consensus.SharedLog;
+import ottergauge.control.log.ChangeLog;
+import ottergauge.control.log.LogLimits;
+import ottergauge.control.log.Submissions;
+import ottergauge.protocol.ProtocolException;
+import ottergauge.resources.ResourceCodec;
+import ottergauge.resources.Subscription;
+import ottergauge.resources.TooOld;
+
+/** Pages of snapshots at a paced rate, on made-up time. */
+class SnapshotQueueTest {
+
+    private static final int PAGE_BYTES = 10_000;
+    private static final long BYTES_PER_SECOND = 100_000;
+
+    private final SharedLog log = new SharedLog();
+    private final MadeUpTimers timers = new MadeUpTimers();
+    private final SnapshotQueue queue =
+        new SnapshotQueue(log, timers, timers::nowMicros, BYTES_PER_SECOND);
+
+    SnapshotQueueTest() {
+        log.replace(new ChangeLog("a1", LogLimits.DEFAULT));
+        Submissions tenants = Submissions.of("tenants");
+        for (int i = 0; i < 200; i++) {
+            tenants.tenant("t-" + i, i);
+        }
+        log.apply(tenants.build());
+    }
+
+    private RecordingResponder ask(Optional<String> ofLog) {
+        RecordingResponder responder = new RecordingResponder();
+        queue.take(responder, new SnapshotCall(ofLog, Optional.empty(), PAGE_BYTES,
+            new Subscription(Set.of(), "default")));
+        return responder;
+    }
+
+    private List<RecordingResponder> askOften(int calls) {
+        List<RecordingResponder> responders = new ArrayList<>();
+        for (int i = 0; i < calls; i++) {
+            responders.add(ask(Optional.empty()));
+        }
+        return responders;
+    }
+
+    private static long answered(List<RecordingResponder> responders) {
+        return responders.stream().filter(RecordingResponder::isAnswered).count();
+    }
+
+    @Test
+    void theFirstPageIsWrittenAtOnce() throws ProtocolException {
+        RecordingResponder first = ask(Optional.of("a1"));
+        assertEquals(Status.OK, first.status);
+        assertTrue(ResourceCodec.readSnapshot(first.body).next().isPresent());
+    }
+
+    @Test
+    void noMoreBytesAreWrittenThanTheRateAllows() {
+        List<RecordingResponder> responders = askOften(100);
+        long begun = timers.nowMs();
+        while (answered(responders) < 100) {
+            timers.pass(7);
+            long bytes = responders.stream().filter(RecordingResponder::isAnswered)
+                .mapToLong(each -> each.body.length).sum();
+            long allowed = (timers.nowMs() - begun) * BYTES_PER_SECOND / 1_000 + 4 * PAGE_BYTES;
+            assertTrue(bytes <= allowed, bytes + " bytes of " + allowed);
+        }
+        long tookMs = timers.nowMs() - begun;
+        long bytes = responders.stream().mapToLong(each -> each.body.length).sum();
+        long neededMs = bytes * 1_000 / BYTES_PER_SECOND;
+        assertTrue(Math.abs(tookMs - neededMs) < 300, "took " + tookMs + " instead of " + neededMs);
+    }
+
+    @Test
+    void callsAreAnsweredInTheirOrder() {
+        List<RecordingResponder> responders = askOften(20);
+        while (answered(responders) < 20) {
+            timers.pass(1);
+            long answered = answered(responders);
+            assertEquals(answered, answered(responders.subList(0, (int) answered)));
+        }
+        assertEquals(0, queue.length());
+    }
+
+    @Test
+    void theTimeInWhichNobodyAskedIsNotSavedUp() {
+        timers.pass(60_000);
+        assertTrue(answered(askOften(50)) <= 3);
+    }
+
+    @Test
+    void aPageIsMadeWhenItsTurnComes() throws ProtocolException {
+        List<RecordingResponder> responders = askOften(10);
+        log.apply(Submissions.of("later").tenant("t-0", 7).build());
+        timers.pass(5_000);
+        assertEquals(1, ResourceCodec.readSnapshot(responders.get(0).body).at().version());
+        assertEquals(2, ResourceCodec.readSnapshot(responders.get(9).body).at().version());
+    }
+
+    @Test
+    void aCallerThatLeftCostsNothing() {
+        List<RecordingResponder> responders = askOften(100);
+        responders.subList(5, 99).forEach(RecordingResponder::leave);
+        timers.pass(1_000);
+        assertTrue(responders.get(99).isAnswered());
+        assertFalse(responders.get(50).isAnswered());
+    }
+
+    @Test
+    void pagesOfAnotherLogAreTooOld() throws ProtocolException {
+        RecordingResponder other = ask(Optional.of("b2"));
+        assertEquals(Status.GONE, other.status);
+        assertEquals(new TooOld("a1", 1, 1), ResourceCodec.readTooOld(other.body));
+    }
+
+    @Test
+    void allThatWaitAreTurnedAwayAtTheEnd() {
+        List<RecordingResponder> responders = askOften(10);
+        long before = answered(responders);
+        queue.stop();
+        assertTrue(before < 10);
+        assertEquals(10, answered(responders));
+        assertEquals("{\"error\":\"stopping\"}", responders.get(9).text());
+        assertTrue(responders.get(9).closes);
+        assertEquals(Status.UNAVAILABLE, ask(Optional.empty()).status);
+        timers.pass(1_000);
+        assertEquals(0, queue.length());
+    }
+}
--- /dev/null
+++ b/control/src/test/java/ottergauge/control/server/WaitingPollsTest.java
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.control.server;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import ottergauge.control.consensus.SharedLog;
+import ottergauge.control.log.ChangeLog;
+import ottergauge.control.log.LogLimits;
+import ottergauge.control.log.Submissions;
+import ottergauge.protocol.ProtocolException;
+import ottergauge.resources.Change;
+import ottergauge.resources.ChangePage;
+import ottergauge.resources.LogPosition;
+import ottergauge.resources.ResourceCodec;
+import ottergauge.resources.Subscription;
+import ottergauge.resources.TooOld;
+
+/** Calls that wait for changes, on made-up time. */
+class WaitingPollsTest {
+
+    private static final String LOG = "a1";
+    private static final int MOST_WAITING = 3;
+
+    private final SharedLog log = new SharedLog();
+    private final MadeUpTimers timers = new MadeUpTimers();
+    private final WaitingPolls polls = new WaitingPolls(log, timers, MOST_WAITING);
+
+    WaitingPollsTest() {
+        log.replace(new ChangeLog(LOG, new LogLimits(5, 1 << 20)));
+        log.onChange(polls::wake);
+        log.apply(Submissions.of("services").service("checkout").service("search").build());
+    }
+
+    private RecordingResponder ask(long after, long waitMs, String... services) {
+        return ask(new LogPosition(LOG, after), waitMs, services);
+    }
+
+    private RecordingResponder ask(LogPosition after, long waitMs, String... services) {
+        RecordingResponder responder = new RecordingResponder();
+        polls.take(responder, new ChangesCall(after, waitMs, 1 << 16,
+            new Subscription(Set.of(services), "default"), Optional.empty()));
+        return responder;
+    }
+
+    private static ChangePage page(RecordingResponder responder) throws ProtocolException {
+        assertEquals(Status.OK, responder.status);
+        return ResourceCodec.readChanges(responder.body);
+    }
+
+    private static List<Long> versions(RecordingResponder responder) throws ProtocolException {
+        return page(responder).changes().stream().map(Change::version).toList();
+    }
+
+    @Test
+    void whatIsThereIsToldAtOnce() throws ProtocolException {
+        assertEquals(List.of(1L), versions(ask(0, 10_000)));
+        assertEquals(0, polls.count());
+    }
+
+    @Test
+    void aCallThatDoesNotWaitIsAnsweredWithNothing() throws ProtocolException {
+        ChangePage page = page(ask(1, 0));
+        assertEquals(List.of(), page.changes());
+        assertEquals(1, page.upTo().version());
+    }
+
+    @Test
+    void aChangeWakesTheCallsThatFollowIt() throws ProtocolException {
+        RecordingResponder checkout = ask(1, 10_000, "checkout");
+        RecordingResponder search = ask(1, 10_000, "search");
+        RecordingResponder all = ask(1, 10_000);
+        log.apply(Submissions.of("a").server("s-1", "search").build());
+        assertFalse(checkout.isAnswered());
+        assertEquals(List.of(2L), versions(search));
+        assertEquals(List.of(2L), versions(all));
+        log.apply(Submissions.of("b").tenant("gold", 1).build());
+        assertEquals(List.of(3L), versions(checkout));
+        assertEquals(0, polls.count());
+        assertEquals(0, timers.count());
+    }
+
+    @Test
+    void aCallIsAnsweredWhenItsTimeIsOver() throws ProtocolException {
+        RecordingResponder checkout = ask(1, 5_000, "checkout");
+        log.apply(Submissions.of("a").server("s-1", "search").build());
+        timers.pass(4_999);
+        assertFalse(checkout.isAnswered());
+        timers.pass(1);
+        assertEquals(List.of(), versions(checkout));
+        assertEquals(2, page(checkout).upTo().version());
+        assertEquals(0, polls.count());
+    }
+
+    @Test
+    void aCallThatWaitsOutlivesTheChangesThatItDoesNotFollow() throws ProtocolException {
+        RecordingResponder checkout = ask(1, 10_000, "checkout");
+        for (int i = 0; i < 20; i++) {
+            log.apply(Submissions.of("id-" + i).server("s-1", "search", i).build());
+        }
+        assertFalse(checkout.isAnswered());
+        log.apply(Submissions.of("last").server("s-2", "checkout").build());
+        assertEquals(List.of(22L), versions(checkout));
+    }
+
+    @Test
+    void theCallsThatWaitAreBounded() throws ProtocolException {
+        List<RecordingResponder> waiting = List.of(ask(1, 10_000), ask(1, 10_000), ask(1, 10_000));
+        RecordingResponder tooMany = ask(1, 10_000);
+        assertEquals(Status.UNAVAILABLE, tooMany.status);
+        assertEquals("{\"error\":\"busy\"}", tooMany.text());
+        waiting.get(0).leave();
+        assertFalse(ask(1, 10_000).isAnswered());
+        assertEquals(List.of(1L), versions(ask(0, 10_000)));
+        assertEquals(MOST_WAITING, polls.count());
+    }
+
+    @Test
+    void aCallOfAClientThatLeftIsForgotten() {
+        RecordingResponder gone = ask(1, 10_000);
+        gone.leave();
+        assertEquals(0, polls.count());
+        assertEquals(0, timers.count());
+        log.apply(Submissions.of("a").tenant("gold", 1).build());
+        assertFalse(gone.isAnswered());
+    }
+
+    @Test
+    void anotherLogAndChangesThatAreNotKeptAreTooOld() throws ProtocolException {
+        RecordingResponder other = ask(new LogPosition("other", 1), 10_000);
+        assertEquals(Status.GONE, other.status);
+        assertEquals(new TooOld(LOG, 1, 1), ResourceCodec.readTooOld(other.body));
+        for (int i = 0; i < 9; i++) {
+            log.apply(Submissions.of("id-" + i).tenant("gold", i).build());
+        }
+        RecordingResponder old = ask(4, 10_000);
+        assertEquals(new TooOld(LOG, 6, 10), ResourceCodec.readTooOld(old.body));
+        assertEquals(List.of(6L, 7L, 8L, 9L, 10L), versions(ask(5, 10_000)));
+    }
+
+    @Test
+    void aCallerThatIsAheadMayWaitForThisProcessToCatchUp() throws ProtocolException {
+        RecordingResponder ahead = ask(3, 10_000);
+        log.apply(Submissions.of("a").tenant("gold", 1).build());
+        log.apply(Submissions.of("b").tenant("gold", 2).build());
+        assertFalse(ahead.isAnswered());
+        log.apply(Submissions.of("c").tenant("gold", 3).build());
+        assertEquals(List.of(4L), versions(ahead));
+    }
+
+    @Test
+    void aCallerThatStaysAheadIsSentElsewhere() {
+        RecordingResponder ahead = ask(3, 10_000);
+        timers.pass(999);
+        assertFalse(ahead.isAnswered());
+        timers.pass(1);
+        assertEquals(Status.UNAVAILABLE, ahead.status);
+        assertEquals("{\"error\":\"behind\"}", ahead.text());
+        assertEquals("{\"error\":\"behind\"}", ask(3, 0).text());
+    }
+
+    @Test
+    void aLogThatTakesThePlaceOfAnotherIsToldToThoseThatWait() throws ProtocolException {
+        RecordingResponder waiting = ask(1, 10_000);
+        log.replace(new ChangeLog("b2", LogLimits.DEFAULT));
+        assertEquals(new TooOld("b2", 1, 0), ResourceCodec.readTooOld(waiting.body));
+    }
+
+    @Test
+    void allThatWaitAreAnsweredAtTheEnd() throws ProtocolException {
+        RecordingResponder waiting = ask(1, 10_000);
+        polls.stop();
+        assertEquals(List.of(), versions(waiting));
+        assertTrue(waiting.closes);
+        assertTrue(ask(1, 10_000).isAnswered());
+        assertEquals(0, timers.count());
+    }
+}
