Benchmarks of the node's reducers and codecs at 100 to 8,000 servers, and `make capacity`

Which mechanism is missing first is to be decided by measured slopes.

Change: capacity/ has JMH benchmarks of HostList, of Router taking lists over, of Decide taking lists over, deciding a request and ending a window, by servers and by classes; retained heap by JOL. Forks run with the flags of the node's own `run` line. `make capacity` writes docs/capacity-table.md with the spread and a line by least squares for each row.

Seen and ruled out: JMH's time by the clock spread by a factor of ten for one cell (read a whole list of 1,000: 724 to 19,628 us in a trial) while other work held the cores; the rows tell processor time instead, by a profiler of the project's own. Iterations with setup between invocations would count what the setup allocates.

Tests: mvn verify of capacity/, 16 tests. BenchmarkSmokeTest was seen to fail with a benchmark's check made wrong.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: Apache-2.0
-.PHONY: build test lint run clean
+.PHONY: build test lint run capacity clean
 
 build:
 	mvn -q -DskipTests package
@@ -17,6 +17,12 @@
 	@test -n "$(CONFIG)" || { echo "usage: make run CONFIG=FILE"; exit 2; }
 	BALANCER_CONFIG="$(CONFIG)" /bin/sh -c "$$(sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
 
+# Measures one node at growing sizes, in some ten minutes, and writes the page that docs/CAPACITY.md quotes.
+capacity:
+	mvn -q -B -f reactor/pom.xml -pl ..,../capacity -DskipTests package
+	java -Djdk.attach.allowAttachSelf=true -Djol.magicFieldOffset=true -jar capacity/target/ottergauge-capacity.jar \
+		table --root . --out docs/capacity-table.md
+
 clean:
 	mvn -q clean
 	mvn -q -f lab/pom.xml clean
--- /dev/null
+++ b/capacity/src/main/java/ottergauge/capacity/benchmark/CpuProfiler.java
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.capacity.benchmark;
+
+import com.sun.management.OperatingSystemMXBean;
+import java.lang.management.ManagementFactory;
+import java.util.Collection;
+import java.util.List;
+import org.openjdk.jmh.infra.BenchmarkParams;
+import org.openjdk.jmh.infra.IterationParams;
+import org.openjdk.jmh.profile.InternalProfiler;
+import org.openjdk.jmh.results.AggregationPolicy;
+import org.openjdk.jmh.results.IterationResult;
+import org.openjdk.jmh.results.ScalarResult;
+
+/**
+ * Tells the processor time that an operation takes: of the whole process, so that the collector's and the
+ * compiler's is in it, and time in which other processes had the core is not.
+ */
+public final class CpuProfiler implements InternalProfiler {
+
+    /** The name of the result, in microseconds for each operation. */
+    public static final String RESULT = "cpu.norm";
+
+    private static final double NANOS_A_MICRO = 1_000;
+
+    private final OperatingSystemMXBean system =
+        (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+    private long before;
+
+    @Override
+    public String getDescription() {
+        return "Processor time of the process for each operation";
+    }
+
+    @Override
+    public void beforeIteration(BenchmarkParams benchmark, IterationParams iteration) {
+        before = system.getProcessCpuTime();
+    }
+
+    @Override
+    public Collection<ScalarResult> afterIteration(BenchmarkParams benchmark, IterationParams iteration,
+                                                   IterationResult result) {
+        double spent = (system.getProcessCpuTime() - before) / NANOS_A_MICRO;
+        long operations = Math.max(1, result.getMetadata().getAllOps());
+        return List.of(new ScalarResult(RESULT, spent / operations, "us/op", AggregationPolicy.AVG));
+    }
+}
--- /dev/null
+++ b/capacity/src/main/java/ottergauge/capacity/benchmark/DecisionBenchmark.java
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.capacity.benchmark;
+
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import ottergauge.DecisionApi.Settings;
+import ottergauge.capacity.workload.DecisionDriver;
+import ottergauge.capacity.workload.Fleet;
+import ottergauge.capacity.workload.ListedServers;
+import ottergauge.capacity.workload.Loopback;
+import ottergauge.capacity.workload.NodeConfiguration;
+
+/** The decisions for one request from its arrival to its answer, and the end of a window. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class DecisionBenchmark {
+
+    private static final int WINDOWS = 2;
+
+    @Param("100")
+    public int servers;
+    @Param("8")
+    public int classes;
+    @Param("1")
+    public long seed;
+
+    private DecisionDriver driver;
+
+    /** Starts a module that has served for two windows. */
+    @Setup
+    public void start() {
+        Settings settings = new NodeConfiguration(Loopback.UNUSED, Loopback.UNUSED, seed, classes,
+            Fleet.unknown()).read().settings();
+        driver = new DecisionDriver(settings, seed, ListedServers.draw(servers, seed).whole());
+        driver.serveWindows(WINDOWS);
+    }
+
+    @Benchmark
+    public long serveRequest() {
+        return driver.serve();
+    }
+
+    @Benchmark
+    public DecisionDriver endWindow() {
+        driver.endWindow();
+        return driver;
+    }
+}
--- /dev/null
+++ b/capacity/src/main/java/ottergauge/capacity/benchmark/DecisionListBenchmark.java
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.capacity.benchmark;
+
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import ottergauge.DecisionApi.ServerList;
+import ottergauge.DecisionApi.Settings;
+import ottergauge.capacity.workload.DecisionDriver;
+import ottergauge.capacity.workload.Fleet;
+import ottergauge.capacity.workload.ListedServers;
+import ottergauge.capacity.workload.Loopback;
+import ottergauge.capacity.workload.NodeConfiguration;
+
+/** A list that is taken over by the decision module alone. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class DecisionListBenchmark {
+
+    // So many windows' worth of answers before it is measured.
+    private static final int WINDOWS = 2;
+
+    @Param("100")
+    public int servers;
+    @Param("8")
+    public int classes;
+    @Param("1")
+    public long seed;
+
+    private ListedServers listed;
+    private ServerList whole;
+    private DecisionDriver driver;
+
+    /** Starts a module that has served for two windows. */
+    @Setup
+    public void start() {
+        Settings settings = new NodeConfiguration(Loopback.UNUSED, Loopback.UNUSED, seed, classes,
+            Fleet.unknown()).read().settings();
+        listed = ListedServers.draw(servers, seed);
+        whole = listed.whole();
+        driver = new DecisionDriver(settings, seed, whole);
+        driver.serveWindows(WINDOWS);
+    }
+
+    @Benchmark
+    public DecisionDriver followWhole() {
+        driver.follow(whole);
+        return driver;
+    }
+
+    @Benchmark
+    public DecisionDriver followChange() {
+        driver.follow(listed.change());
+        return driver;
+    }
+}
--- /dev/null
+++ b/capacity/src/main/java/ottergauge/capacity/benchmark/ListCodecBenchmark.java
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.capacity.benchmark;
+
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import ottergauge.capacity.workload.Fleet;
+import ottergauge.capacity.workload.Loopback;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.ProtocolException;
+
+/** Reading and writing discovery's list: whole, and one change. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class ListCodecBenchmark {
+
+    @Param("100")
+    public int servers;
+    @Param("1")
+    public long seed;
+
+    private HostList whole;
+    private HostList change;
+    private byte[] wholeBytes;
+    private byte[] changeBytes;
+
+    /** Draws a fleet and encodes it. */
+    @Setup
+    public void draw() {
+        Fleet fleet = Fleet.draw(servers, seed, Loopback.UNUSED);
+        whole = fleet.whole();
+        wholeBytes = whole.json();
+        change = fleet.change();
+        changeBytes = change.json();
+    }
+
+    @Benchmark
+    public HostList readWhole() throws ProtocolException {
+        HostList read = HostList.read(wholeBytes);
+        Check.equal(servers, read.hosts().size());
+        return read;
+    }
+
+    @Benchmark
+    public HostList readChange() throws ProtocolException {
+        HostList read = HostList.read(changeBytes);
+        Check.equal(1, read.hosts().size());
+        return read;
+    }
+
+    @Benchmark
+    public byte[] writeWhole() {
+        byte[] written = whole.json();
+        Check.equal(wholeBytes.length, written.length);
+        return written;
+    }
+
+    @Benchmark
+    public byte[] writeChange() {
+        byte[] written = change.json();
+        Check.equal(changeBytes.length, written.length);
+        return written;
+    }
+}
--- /dev/null
+++ b/capacity/src/main/java/ottergauge/capacity/report/MarkdownWriter.java
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.capacity.report;
+
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** Writes a page as Markdown. */
+public final class MarkdownWriter {
+
+    private static final String NOT_RUN = "not run";
+    private static final double LARGE = 1000;
+    // What grows by less than this part over all sizes does not grow.
+    private static final double FLAT_PART = 0.001;
+
+    private MarkdownWriter() {
+    }
+
+    /** The page's text. */
+    public static String write(Page page) {
+        StringBuilder text = new StringBuilder("<!-- SPDX-License-Identifier: Apache-2.0 -->\n");
+        text.append("# Capacity of one node, as measured\n\n");
+        text.append("Written by `make capacity`; not edited by hand.\n\n");
+        page.conditions().forEach(condition -> text.append("- ").append(condition).append('\n'));
+        page.sections().forEach(section -> write(text, section));
+        return text.toString();
+    }
+
+    private static void write(StringBuilder text, Section section) {
+        text.append("\n## ").append(section.title()).append("\n\n");
+        section.notes().forEach(note -> text.append(note).append('\n'));
+        text.append(section.notes().isEmpty() ? "" : "\n");
+        text.append("| what | unit |");
+        section.sizes().forEach(size -> text.append(' ').append(whole(size)).append(" |"));
+        text.append(" fit: at 0 | fit: per ").append(section.sizeName()).append(" | fitted over | R² |\n|");
+        text.append(" --- |".repeat(section.sizes().size() + 6)).append('\n');
+        section.rows().forEach(row -> write(text, section, row));
+    }
+
+    private static void write(StringBuilder text, Section section, Row row) {
+        text.append("| ").append(row.what()).append(" | ").append(row.unit()).append(" | ");
+        text.append(section.sizes().stream().map(size -> cell(row.cells().get(size)))
+            .collect(Collectors.joining(" | ")));
+        String fit = row.fit(section.fitUpTo()).map(MarkdownWriter::fit).orElse("- | - | - | -");
+        text.append(" | ").append(fit).append(" |\n");
+    }
+
+    private static String cell(Cell cell) {
+        if (cell instanceof Cell.Measured measured) {
+            Spread spread = measured.spread();
+            String least = number(spread.least());
+            String most = number(spread.most());
+            return least.equals(most) ? least
+                : "%s (%s to %s)".formatted(number(spread.median()), least, most);
+        }
+        return cell instanceof Cell.Failed failed ? "failed: " + failed.why() : NOT_RUN;
+    }
+
+    private static String fit(LinearFit fit) {
+        double grows = fit.slope() * (fit.to() - fit.from());
+        boolean flat = Math.abs(grows) < FLAT_PART * Math.abs(fit.intercept());
+        return "%s | %s | %s to %s | %s".formatted(number(fit.intercept()), flat ? "0" : number(fit.slope()),
+            whole((long) fit.from()), whole((long) fit.to()),
+            flat ? "-" : String.format(Locale.ROOT, "%.3f", fit.determination()));
+    }
+
+    /** Three significant digits, thousands set apart. */
+    static String number(double value) {
+        if (value == 0) {
+            return "0";
+        }
+        if (Math.abs(value) >= LARGE) {
+            return whole(Math.round(value));
+        }
+        int decimals = Math.max(0, 2 - (int) Math.floor(Math.log10(Math.abs(value))));
+        return String.format(Locale.ROOT, "%." + Math.min(decimals, 9) + "f", value);
+    }
+
+    private static String whole(long value) {
+        return String.format(Locale.ROOT, "%,d", value);
+    }
+}
--- /dev/null
+++ b/capacity/src/main/java/ottergauge/capacity/workload/NodeConfiguration.java
@@ -0,0 +1,150 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.capacity.workload;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import ottergauge.protocol.Address;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.NodeConfig;
+import ottergauge.protocol.ProtocolException;
+
+/**
+ * The configuration of one of 780 nodes, the same for benchmarks and for real processes: answers tell loads,
+ * probes cost more than they are worth, and all classes may be repeated.
+ */
+public record NodeConfiguration(Address listen, Address discovery, long seed, int classes, HostList known) {
+
+    /** Nodes in the fleet that the measured one is part of. */
+    public static final int NODES = 780;
+
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final int DESCRIPTORS = 1024;
+    private static final int MEMORY_MB = 128;
+    private static final double AIM_MS = 400;
+    private static final double HARD_LIMIT_MS = 1000;
+    private static final double PROBE_PRICE = 0.08;
+    private static final double COLD_MS = 9000;
+    private static final double COLD_FROM = 0.3;
+    private static final double TIP_MULTIPLE = 3;
+    private static final double FALL_MS = 1000;
+    private static final double ANSWER_SLACK_MS = 5;
+    private static final double STOP_SENDING_WITHIN_MS = 250;
+    private static final double MUST_ASK_IN_MS = 10_000;
+    private static final int MOST_ATTEMPTS = 5;
+    private static final double MOST_RETRY_AFTER_MS = 600;
+    private static final double CONNECT_TIMEOUT_MS = 200;
+    private static final double CONNECTION_IDLE_MS = 10_000;
+
+    /** The name of the class of this number, counted from 0. */
+    public static String className(int number) {
+        return "class-%03d".formatted(number);
+    }
+
+    /** The configuration as the node reads it. */
+    public NodeConfig read() {
+        try {
+            return NodeConfig.read(json());
+        } catch (ProtocolException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** The content of the configuration file. */
+    public byte[] json() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator out = JSON.createGenerator(bytes)) {
+            out.writeStartObject();
+            out.writeStringField("name", "capacity");
+            out.writeStringField("listen", listen.toString());
+            out.writeStringField("discovery", discovery.toString());
+            out.writeStringField("seed", Long.toHexString(seed));
+            out.writeObjectFieldStart("limits");
+            out.writeNumberField("cores", 1.0);
+            out.writeNumberField("memory_mb", MEMORY_MB);
+            out.writeNumberField("sockets", DESCRIPTORS);
+            out.writeEndObject();
+            out.writeFieldName("known");
+            out.writeRawValue(new String(known.json(), StandardCharsets.UTF_8));
+            out.writeObjectFieldStart("settings");
+            writeSettings(out);
+            out.writeEndObject();
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private void writeSettings(JsonGenerator out) throws IOException {
+        out.writeNumberField("me", 0);
+        out.writeNumberField("balancers", NODES);
+        out.writeStringField("zone", Fleet.ZONES.get(0));
+        writeNames(out, "zones", Fleet.ZONES);
+        writeNames(out, "kinds", Fleet.KINDS);
+        out.writeStringField("registryMode", "on_request");
+        out.writeObjectFieldStart("clients");
+        out.writeBooleanField("marksRetry", true);
+        out.writeEndObject();
+        out.writeObjectFieldStart("reporting");
+        out.writeStringField("how", "inline");
+        writeNames(out, "fields", List.of("outstanding"));
+        out.writeEndObject();
+        writeCeilings(out);
+        writeRules(out);
+        out.writeObjectFieldStart("penalties");
+        out.writeNumberField("probe", PROBE_PRICE);
+        out.writeEndObject();
+        writeClasses(out);
+    }
+
+    private static void writeCeilings(JsonGenerator out) throws IOException {
+        out.writeObjectFieldStart("ceilings");
+        out.writeBooleanField("probes", true);
+        out.writeBooleanField("cancel", true);
+        out.writeBooleanField("retryAfter", true);
+        out.writeNumberField("maxAttempts", MOST_ATTEMPTS);
+        out.writeNumberField("maxRetryAfterMs", MOST_RETRY_AFTER_MS);
+        out.writeNumberField("connectTimeoutMs", CONNECT_TIMEOUT_MS);
+        out.writeNumberField("connIdleMs", CONNECTION_IDLE_MS);
+        out.writeEndObject();
+    }
+
+    private static void writeRules(JsonGenerator out) throws IOException {
+        out.writeObjectFieldStart("rules");
+        out.writeNumberField("answerSlackMs", ANSWER_SLACK_MS);
+        out.writeNumberField("stopSendingWithinMs", STOP_SENDING_WITHIN_MS);
+        out.writeNumberField("coldFrom", COLD_FROM);
+        out.writeNumberField("coldMs", COLD_MS);
+        out.writeNumberField("tipMultiple", TIP_MULTIPLE);
+        out.writeNumberField("fallMs", FALL_MS);
+        out.writeNumberField("mustAskInMs", MUST_ASK_IN_MS);
+        out.writeEndObject();
+    }
+
+    private void writeClasses(JsonGenerator out) throws IOException {
+        out.writeArrayFieldStart("classes");
+        for (int number = 0; number < classes; number++) {
+            out.writeStartObject();
+            out.writeStringField("name", className(number));
+            out.writeStringField("semantics", "free");
+            out.writeNumberField("aimMs", AIM_MS);
+            out.writeNumberField("hardLimitMs", HARD_LIMIT_MS);
+            out.writeNumberField("value", 1.0);
+            out.writeEndObject();
+        }
+        out.writeEndArray();
+    }
+
+    private static void writeNames(JsonGenerator out, String field, List<String> names) throws IOException {
+        out.writeArrayFieldStart(field);
+        for (String name : names) {
+            out.writeString(name);
+        }
+        out.writeEndArray();
+    }
+}
