Measure the real process too: start, memory, discovery's bytes, changes, requests

Need: what reducers cost says nothing of sockets, of a start, of resident memory and of the time that a node adds.

Change: `make capacity` starts the node by the `run` line of deploy/balancer.toml at each size, before stand-ins of this project: discovery (long polls, changes after a version) and a server, both counting bytes at their sockets. Measured: exec to ready, CPU, resident memory, rest, 50 changes a second, a list told by discovery, and CPU and latency at 62 requests a second, open loop from the intended instant (HdrHistogram), with as many requests past the node to the same stand-in at the same time. `--parts` takes one half of it.

--- a/capacity/src/main/java/ottergauge/capacity/Main.java
+++ b/capacity/src/main/java/ottergauge/capacity/Main.java
@@ -14,6 +14,7 @@
     }
 
     public static void main(String[] arguments) {
-        System.exit(new CommandLine(new Main()).execute(arguments));
+        System.exit(new CommandLine(new Main()).setCaseInsensitiveEnumValuesAllowed(true)
+            .execute(arguments));
     }
 }
--- /dev/null
+++ b/capacity/src/main/java/ottergauge/capacity/load/OpenLoopClient.java
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.capacity.load;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import ottergauge.capacity.workload.NodeConfiguration;
+import ottergauge.protocol.Address;
+import ottergauge.protocol.Headers;
+
+/**
+ * Sends requests to one address at instants that do not wait for answers; a request that finds no idle
+ * connection opens one. Connections and times belong to one event loop.
+ */
+public final class OpenLoopClient implements AutoCloseable {
+
+    private static final long GIVE_UP_MS = 1_000;
+    private static final int MOST_BODY = 1 << 16;
+    private static final int DIGITS = 3;
+    private static final long LONGEST = TimeUnit.SECONDS.toNanos(60);
+    // All connections, idle ones among them: a target that stands still is not sent more.
+    private static final int MOST_CONNECTIONS = 256;
+
+    private final EventLoop loop;
+    private final Address target;
+    private final int classes;
+    private final String name;
+    private final Deque<Channel> idle = new ArrayDeque<>();
+    private final Set<Channel> connections = new HashSet<>();
+    private Histogram served = histogram();
+    private long sent;
+    private long open;
+    private long failed;
+
+    /** A client whose requests are of so many classes in turn; {@code name} is a part of their ids. */
+    public OpenLoopClient(EventLoop loop, Address target, int classes, String name) {
+        this.loop = loop;
+        this.target = target;
+        this.classes = classes;
+        this.name = name;
+    }
+
+    private static Histogram histogram() {
+        return new Histogram(LONGEST, DIGITS);
+    }
+
+    /** Sends one request that was intended for an instant of {@link System#nanoTime}. */
+    public void send(long intended) {
+        loop.execute(() -> sendNow(intended));
+    }
+
+    private void sendNow(long intended) {
+        open++;
+        Channel kept = idle.pollLast();
+        if (kept != null) {
+            write(kept, intended);
+        } else if (connections.size() >= MOST_CONNECTIONS) {
+            over(false, intended);
+        } else {
+            connect(intended);
+        }
+    }
+
+    private void connect(long intended) {
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            .handler(new ChannelInitializer<>() {
+                @Override
+                protected void initChannel(Channel connection) {
+                    connection.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY),
+                        new Answers());
+                }
+            }).connect(target.host(), target.port()).addListener(connected -> {
+                if (connected.isSuccess()) {
+                    Channel connection = ((ChannelFuture) connected).channel();
+                    connections.add(connection);
+                    write(connection, intended);
+                } else {
+                    over(false, intended);
+                }
+            });
+    }
+
+    private void write(Channel connection, long intended) {
+        connection.pipeline().get(Answers.class).intended = intended;
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api");
+        request.headers().set(HttpHeaderNames.HOST, target.toString())
+            .set(Headers.TRACE_ID, name + "-" + ++sent)
+            .set(Headers.REQUEST_CLASS, NodeConfiguration.className((int) (sent % classes)))
+            .set(Headers.EXPIRES_IN_MS, GIVE_UP_MS);
+        connection.writeAndFlush(request);
+    }
+
+    private void over(boolean success, long intended) {
+        open--;
+        if (success) {
+            served.recordValue(Math.min(LONGEST, System.nanoTime() - intended));
+        } else {
+            failed++;
+        }
+    }
+
+    /** The answers of one connection, which carries one request at a time. */
+    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private static final long NONE = Long.MIN_VALUE;
+        private long intended = NONE;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            long begun = intended;
+            intended = NONE;
+            over(answer.status().equals(HttpResponseStatus.OK), begun);
+            if (HttpUtil.isKeepAlive(answer)) {
+                idle.add(ctx.channel());
+            } else {
+                ctx.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            connections.remove(ctx.channel());
+            idle.remove(ctx.channel());
+            if (intended != NONE) {
+                over(false, intended);
+                intended = NONE;
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    /** What has become of the requests since this was asked last; those that are open count later. */
+    public Latencies take() {
+        return loop.submit(() -> {
+            Latencies taken = new Latencies(served, failed);
+            served = histogram();
+            failed = 0;
+            return taken;
+        }).syncUninterruptibly().getNow();
+    }
+
+    /** Waits until no request is open; false if some are after this time. */
+    public boolean awaitAnswers(long milliseconds) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(milliseconds);
+        while (loop.submit(() -> open).syncUninterruptibly().getNow() > 0) {
+            if (System.nanoTime() > until) {
+                return false;
+            }
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        return true;
+    }
+
+    @Override
+    public void close() {
+        loop.submit(() -> Set.copyOf(connections).forEach(Channel::close)).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/capacity/src/main/java/ottergauge/capacity/node/NodeProcess.java
@@ -0,0 +1,138 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.capacity.node;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import ottergauge.capacity.workload.Loopback;
+import ottergauge.capacity.workload.NodeConfiguration;
+import ottergauge.protocol.Address;
+import ottergauge.protocol.Headers;
+
+/** A process of the node as operators start it, with what the system says of its time and memory. */
+public final class NodeProcess implements AutoCloseable {
+
+    private static final long READY_WITHIN_MS = 30_000;
+    private static final long LOOK_EVERY_MS = 2;
+    private static final int ANSWER_WITHIN_MS = 1_000;
+    private static final long END_WITHIN_S = 5;
+    private static final int LOG_END = 1_000;
+    private static final String READY = "HTTP/1.1 200";
+
+    private final Process process;
+    private final Address address;
+    private final Path log;
+    private final long startedAt;
+
+    private NodeProcess(Process process, Address address, Path log, long startedAt) {
+        this.process = process;
+        this.address = address;
+        this.log = log;
+        this.startedAt = startedAt;
+    }
+
+    /** A loopback address that was free a moment ago. */
+    public static Address freeAddress() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName(Loopback.HOST))) {
+            return Loopback.port(probe.getLocalPort());
+        }
+    }
+
+    /** Starts a node from the program's root, with its files in a folder of its own. */
+    public static NodeProcess start(RunLine run, Path root, Path folder, NodeConfiguration configuration)
+        throws IOException {
+        Path file = Files.write(folder.resolve("config.json"), configuration.json());
+        Path log = folder.resolve("log");
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.command()).directory(root.toFile())
+            .redirectErrorStream(true).redirectOutput(log.toFile());
+        builder.environment().put("BALANCER_CONFIG", file.toAbsolutePath().toString());
+        builder.environment().put("TMPDIR", folder.toAbsolutePath().toString());
+        builder.environment().remove("BALANCER_MANAGEMENT");
+        long startedAt = System.nanoTime();
+        return new NodeProcess(builder.start(), configuration.listen(), log, startedAt);
+    }
+
+    /** Waits until it takes clients; gives back the time since it was started. */
+    public Duration awaitReady() throws IOException, InterruptedException {
+        long until = startedAt + TimeUnit.MILLISECONDS.toNanos(READY_WITHIN_MS);
+        while (!isReady()) {
+            if (System.nanoTime() > until || !process.isAlive()) {
+                throw new IOException("the node is not ready; its log ends with: " + logEnd());
+            }
+            TimeUnit.MILLISECONDS.sleep(LOOK_EVERY_MS);
+        }
+        return Duration.ofNanos(System.nanoTime() - startedAt);
+    }
+
+    private boolean isReady() {
+        try (Socket connection = new Socket(address.host(), address.port())) {
+            connection.setSoTimeout(ANSWER_WITHIN_MS);
+            connection.getOutputStream().write(("GET " + Headers.READY_PATH
+                + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            String status = new BufferedReader(new InputStreamReader(connection.getInputStream(),
+                StandardCharsets.US_ASCII)).readLine();
+            return status != null && status.startsWith(READY);
+        } catch (IOException e) {
+            // It does not listen yet.
+            return false;
+        }
+    }
+
+    /** Where it takes clients. */
+    public Address address() {
+        return address;
+    }
+
+    /** The processor time that it has used. */
+    public Duration cpu() throws IOException {
+        Optional<Duration> spent = process.info().totalCpuDuration();
+        if (spent.isEmpty()) {
+            throw new IOException("the node has ended; its log ends with: " + logEnd());
+        }
+        return spent.get();
+    }
+
+    /** Memory that it has in use now, in bytes. */
+    public long residentBytes() throws IOException {
+        return status("VmRSS:");
+    }
+
+    /** The most memory that it has had in use. */
+    public long peakResidentBytes() throws IOException {
+        return status("VmHWM:");
+    }
+
+    private long status(String field) throws IOException {
+        Path status = Path.of("/proc", Long.toString(process.pid()), "status");
+        String line = Files.readAllLines(status).stream().filter(each -> each.startsWith(field)).findFirst()
+            .orElseThrow(() -> new IOException(status + " has no " + field));
+        return Long.parseLong(line.replaceAll("\\D", "")) * 1024;
+    }
+
+    private String logEnd() throws IOException {
+        String text = Files.readString(log);
+        return text.substring(Math.max(0, text.length() - LOG_END));
+    }
+
+    @Override
+    public void close() {
+        process.destroy();
+        try {
+            if (!process.waitFor(END_WITHIN_S, TimeUnit.SECONDS)) {
+                process.destroyForcibly().waitFor();
+            }
+        } catch (InterruptedException e) {
+            process.destroyForcibly();
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/capacity/src/main/java/ottergauge/capacity/program/TableCommand.java
+++ b/capacity/src/main/java/ottergauge/capacity/program/TableCommand.java
@@ -8,10 +8,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import org.openjdk.jmh.runner.RunnerException;
 import org.openjdk.jmh.runner.options.TimeValue;
 import org.openjdk.jmh.util.Version;
+import ottergauge.capacity.node.NodeMeasurement;
 import ottergauge.capacity.node.RunLine;
 import ottergauge.capacity.program.Benchmarks.Effort;
 import ottergauge.capacity.program.ReducerSections.Sizes;
@@ -31,32 +33,41 @@
     private static final Sizes SIZES = new Sizes(List.of(100, 1_000, 4_000, 8_000), List.of(1, 8, 64, 500));
     private static final Effort EFFORT = new Effort(2, 2, 3, TimeValue.milliseconds(400));
 
+    private static final NodeMeasurement.Effort NODE_EFFORT =
+        new NodeMeasurement.Effort(3, 2_000, 10, 5, 2, 400, 3, 10, 8_000);
+
     @Option(names = "--root", defaultValue = ".", description = "The folder of the program under test.")
     private Path root;
 
     @Option(names = "--out", required = true, description = "Where the page is written.")
     private Path out;
 
+    @Option(names = "--parts", split = ",", defaultValue = "node,reducers",
+        description = "What is measured: node, reducers; all of it unless given.")
+    private Set<Part> parts;
+
     @Option(names = "--seed", defaultValue = "20260101", description = "Draws lists and configurations.")
     private long seed;
 
+    private enum Part { NODE, REDUCERS }
+
     @Spec
     private CommandSpec spec;
 
     @Override
-    public Integer call() throws IOException, RunnerException {
+    public Integer call() throws IOException, RunnerException, InterruptedException {
         PrintWriter log = spec.commandLine().getOut();
         long from = System.nanoTime();
         double loadBefore = Conditions.loadAverage();
         RunLine run = RunLine.read(root);
         Benchmarks benchmarks = new Benchmarks(EFFORT, seed, run.jvmFlags());
-        ReducerSections reducers = new ReducerSections(benchmarks, SIZES, seed);
         List<Section> sections = new ArrayList<>();
-        sections.add(done(log, reducers.heapByServers()));
-        sections.add(done(log, reducers.heapByClasses()));
-        sections.add(done(log, reducers.lists()));
-        sections.add(done(log, reducers.decisionsByServers()));
-        sections.add(done(log, reducers.decisionsByClasses()));
+        if (parts.contains(Part.NODE)) {
+            measureNode(log, run, sections);
+        }
+        if (parts.contains(Part.REDUCERS)) {
+            measureReducers(log, new ReducerSections(benchmarks, SIZES, seed), sections);
+        }
         long seconds = (System.nanoTime() - from) / 1_000_000_000;
         Page page = new Page(conditions(run, loadBefore, seconds), sections);
         Files.writeString(out, MarkdownWriter.write(page));
@@ -64,6 +75,25 @@
         return 0;
     }
 
+    private void measureNode(PrintWriter log, RunLine run, List<Section> sections)
+        throws InterruptedException {
+        try (NodeMeasurement node = new NodeMeasurement(run, root, seed, ReducerSections.USUAL_CLASSES,
+            NODE_EFFORT)) {
+            for (Section section : new NodeSections(node, NODE_EFFORT, SIZES.servers()).measure()) {
+                sections.add(done(log, section));
+            }
+        }
+    }
+
+    private static void measureReducers(PrintWriter log, ReducerSections reducers, List<Section> sections)
+        throws RunnerException {
+        sections.add(done(log, reducers.heapByServers()));
+        sections.add(done(log, reducers.heapByClasses()));
+        sections.add(done(log, reducers.lists()));
+        sections.add(done(log, reducers.decisionsByServers()));
+        sections.add(done(log, reducers.decisionsByClasses()));
+    }
+
     private static Section done(PrintWriter log, Section section) {
         log.println(section.title());
         log.flush();
--- /dev/null
+++ b/capacity/src/main/java/ottergauge/capacity/standin/TrafficCounter.java
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.capacity.standin;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandler.Sharable;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Counts the bytes of all connections of a stand-in, next to their sockets. */
+@Sharable
+final class TrafficCounter extends ChannelDuplexHandler {
+
+    private final AtomicLong calls = new AtomicLong();
+    private final AtomicLong received = new AtomicLong();
+    private final AtomicLong sent = new AtomicLong();
+
+    /** Counts one request. */
+    void called() {
+        calls.incrementAndGet();
+    }
+
+    Traffic traffic() {
+        return new Traffic(calls.get(), received.get(), sent.get());
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (message instanceof ByteBuf bytes) {
+            received.addAndGet(bytes.readableBytes());
+        }
+        ctx.fireChannelRead(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+        if (message instanceof ByteBuf bytes) {
+            sent.addAndGet(bytes.readableBytes());
+        }
+        ctx.write(message, promise);
+    }
+}
--- /dev/null
+++ b/capacity/src/test/java/ottergauge/capacity/standin/DiscoveryStandInTest.java
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.capacity.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import ottergauge.capacity.workload.Fleet;
+import ottergauge.capacity.workload.Loopback;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.ProtocolException;
+
+class DiscoveryStandInTest {
+
+    private static final long PATIENCE_S = 20;
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final DiscoveryStandIn discovery =
+        new DiscoveryStandIn(loops.next(), Fleet.draw(20, 3, Loopback.UNUSED));
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    @AfterEach
+    void close() {
+        discovery.close();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private HttpRequest call(String query) {
+        return HttpRequest.newBuilder(URI.create("http://" + discovery.address() + "/registry/instances"
+            + query)).build();
+    }
+
+    private HostList ask(String query) throws IOException, InterruptedException, ProtocolException {
+        return HostList.read(client.send(call(query), BodyHandlers.ofByteArray()).body());
+    }
+
+    @Test
+    void aCallWithoutAVersionIsToldTheWholeList() throws Exception {
+        HostList list = ask("");
+        assertTrue(list.whole());
+        assertEquals(20, list.hosts().size());
+        assertEquals(-1, discovery.askedAfter());
+    }
+
+    @Test
+    void aCallThatWaitsIsToldTheChangeThatComes() throws Exception {
+        CompletableFuture<HttpResponse<byte[]>> waiting =
+            client.sendAsync(call("?after=1&wait_ms=60000"), BodyHandlers.ofByteArray());
+        while (discovery.traffic().calls() == 0) {
+            Thread.onSpinWait();
+        }
+        assertFalse(waiting.isDone());
+        discovery.changeNow();
+        HostList change = HostList.read(waiting.get(PATIENCE_S, TimeUnit.SECONDS).body());
+        assertFalse(change.whole());
+        assertEquals(2, change.seq());
+        assertEquals(1, change.hosts().size());
+    }
+
+    @Test
+    void whatWasMissedIsToldOncePerServer() throws Exception {
+        discovery.changeNow();
+        discovery.changeNow();
+        discovery.changeNow();
+        HostList missed = ask("?after=1&wait_ms=0");
+        assertEquals(4, missed.seq());
+        assertFalse(missed.whole());
+        // The first server drained and came back; the second drains.
+        assertEquals(2, missed.hosts().size());
+    }
+
+    @Test
+    void aVersionThatIsNotKnownIsToldTheWholeList() throws Exception {
+        assertTrue(ask("?after=77&wait_ms=0").whole());
+    }
+
+    @Test
+    void aWaitThatIsOverIsToldNothing() throws Exception {
+        HostList nothing = ask("?after=1&wait_ms=1");
+        assertEquals(1, nothing.seq());
+        assertFalse(nothing.whole());
+        assertTrue(nothing.hosts().isEmpty());
+    }
+
+    @Test
+    void callsAndBytesAreCountedWithTheirHeads() throws Exception {
+        int body = client.send(call(""), BodyHandlers.ofByteArray()).body().length;
+        Traffic traffic = discovery.traffic();
+        assertEquals(1, traffic.calls());
+        assertTrue(traffic.sent() > body, "sent " + traffic.sent() + " with a body of " + body);
+        assertTrue(traffic.received() > "GET /registry/instances HTTP/1.1\r\n\r\n".length());
+    }
+}
