--- a/capacity/src/main/java/ottergauge/capacity/program/NodeSections.java
+++ b/capacity/src/main/java/ottergauge/capacity/program/NodeSections.java
@@ -72,7 +72,8 @@
                 + effort.loadSliceSeconds() + " s.",
             "Latency counts from the intended instant. The same stand-in for a server, which answers at",
             "once, gets as many requests past the node meanwhile. Added is the difference of the two",
-            "percentiles of a time slice (HdrHistogram, three digits). CPU at rest is taken off that of requests.");
+            "percentiles of a time slice (HdrHistogram, three digits). CPU at rest is taken off that of",
+            "requests.");
     }
 
     private static List<Row> starts(Rows rows) {
