State of the target's parts for measurements: services, servers, routes, tenants

Need: replicas and control processes are to be measured with the whole state and with its parts in proportion.

--- /dev/null
+++ b/capacity/src/main/java/ottergauge/capacity/workload/VersionedFleet.java
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.capacity.workload;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import ottergauge.DecisionApi.ServerState;
+import ottergauge.protocol.HostList.Host;
+import ottergauge.resources.Change;
+import ottergauge.resources.ChangePage;
+import ottergauge.resources.LogPosition;
+import ottergauge.resources.Resource;
+import ottergauge.resources.ResourceKey;
+import ottergauge.resources.ResourceKind;
+import ottergauge.resources.ResourceValue;
+import ottergauge.resources.SnapshotPage;
+import ottergauge.resources.Subscription;
+
+/**
+ * The state that a control process tells: services with their servers, routes, and tenants, as many for each
+ * server as the target has; changes of it, and its pages. The same seed gives the same state.
+ */
+public final class VersionedFleet {
+
+    /** The log that counts the versions. */
+    public static final String LOG = "capacity";
+    /** A node that follows all of it. */
+    public static final Subscription ALL = new Subscription(Set.of(), "default");
+
+    // The target: 8,000 servers in 500 services, 2,700 routes, 38,000 tenants.
+    private static final int TARGET_SERVERS = 8_000;
+    private static final int TARGET_SERVICES = 500;
+    private static final int TARGET_ROUTES = 2_700;
+    private static final int TARGET_TENANTS = 38_000;
+    private static final int MOST_RATE = 1_000;
+    private static final int MOST_OPEN = 256;
+
+    private final List<ResourceKey> servers = new ArrayList<>();
+    private final TreeMap<ResourceKey, Resource> state = new TreeMap<>();
+    private long version;
+    private int nextChanged;
+
+    private VersionedFleet() {
+    }
+
+    /** Draws a state with this many servers; its resources were each made by a change of their own. */
+    public static VersionedFleet draw(int servers, long seed) {
+        VersionedFleet fleet = new VersionedFleet();
+        SplittableRandom random = new SplittableRandom(seed);
+        int services = inProportion(TARGET_SERVICES, servers);
+        for (int number = 0; number < services; number++) {
+            fleet.put(ResourceKind.SERVICE, serviceName(number), new ResourceValue.Service("service"));
+        }
+        for (Host host : Fleet.draw(servers, seed, Loopback.UNUSED).whole().hosts()) {
+            fleet.servers.add(fleet.put(ResourceKind.SERVER, host.name(),
+                new ResourceValue.Server(serviceName(random.nextInt(services)), host)));
+        }
+        for (int number = 0; number < inProportion(TARGET_ROUTES, servers); number++) {
+            fleet.put(ResourceKind.ROUTE, "route-%04d".formatted(number),
+                new ResourceValue.Route(serviceName(random.nextInt(services)), "/api/%04d".formatted(number),
+                    NodeConfiguration.className(0)));
+        }
+        for (int number = 0; number < inProportion(TARGET_TENANTS, servers); number++) {
+            fleet.put(ResourceKind.TENANT, "tenant-%05d".formatted(number), tenant(random));
+        }
+        return fleet;
+    }
+
+    private static ResourceValue tenant(SplittableRandom random) {
+        return new ResourceValue.Tenant(1 + random.nextInt(MOST_RATE), 1 + random.nextInt(MOST_RATE),
+            1 + random.nextInt(MOST_OPEN), 1);
+    }
+
+    private static int inProportion(int atTarget, int servers) {
+        return Math.max(1, (int) Math.round(atTarget * (servers / (double) TARGET_SERVERS)));
+    }
+
+    private static String serviceName(int number) {
+        return "service-%03d".formatted(number);
+    }
+
+    private ResourceKey put(ResourceKind kind, String name, ResourceValue value) {
+        ResourceKey key = new ResourceKey(kind, name);
+        state.put(key, new Resource(key, ++version, value));
+        return key;
+    }
+
+    /** The version of the newest change. */
+    public LogPosition position() {
+        return new LogPosition(LOG, version);
+    }
+
+    /** All resources, in the order of their keys. */
+    public List<Resource> resources() {
+        return List.copyOf(state.values());
+    }
+
+    /** Makes the next change: one server begins to drain, or is in service again; each in turn. */
+    public Change change() {
+        ResourceKey key = servers.get(nextChanged);
+        ResourceValue.Server before = (ResourceValue.Server) state.get(key).value();
+        Host host = before.host();
+        ServerState next = host.state() == ServerState.UP ? ServerState.DRAINING : ServerState.UP;
+        ResourceValue after = new ResourceValue.Server(before.service(), new Host(host.name(), host.dial(),
+            host.site(), host.kind(), host.block(), next, host.share(), host.bornMs()));
+        put(key.kind(), key.name(), after);
+        if (next == ServerState.UP) {
+            nextChanged = (nextChanged + 1) % servers.size();
+        }
+        return new Change(version, List.of(new Change.Put(key, after)), List.of());
+    }
+
+    /** A page that holds the next change alone. */
+    public ChangePage changePage() {
+        Change change = change();
+        return new ChangePage(position(), List.of(change));
+    }
+
+    /** The state in pages of at most so many resources. */
+    public List<SnapshotPage> pages(int mostResources) {
+        List<SnapshotPage> pages = new ArrayList<>();
+        List<Resource> page = new ArrayList<>();
+        for (Map.Entry<ResourceKey, Resource> each : state.entrySet()) {
+            if (page.size() == mostResources) {
+                pages.add(new SnapshotPage(position(), List.copyOf(page), Optional.of(each.getKey())));
+                page.clear();
+            }
+            page.add(each.getValue());
+        }
+        pages.add(new SnapshotPage(position(), List.copyOf(page), Optional.empty()));
+        return pages;
+    }
+}
