--- /dev/null
+++ b/capacity/src/main/java/ottergauge/capacity/benchmark/ResourceCodecBenchmark.java
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.capacity.benchmark;
+
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import ottergauge.capacity.workload.EncodedFleet;
+import ottergauge.capacity.workload.VersionedFleet;
+import ottergauge.protocol.ProtocolException;
+import ottergauge.resources.ChangePage;
+import ottergauge.resources.ResourceCodec;
+import ottergauge.resources.SnapshotPage;
+
+/** Reading and writing what a control process tells: one change, and all pages of a snapshot. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class ResourceCodecBenchmark {
+
+    @Param("100")
+    public int servers;
+    @Param("1")
+    public long seed;
+
+    private EncodedFleet encoded;
+    private ChangePage change;
+    private byte[] changeBytes;
+
+    /** Draws a state and encodes its pages and a change. */
+    @Setup
+    public void draw() {
+        VersionedFleet fleet = VersionedFleet.draw(servers, seed);
+        encoded = EncodedFleet.of(fleet);
+        change = fleet.changePage();
+        changeBytes = ResourceCodec.write(change);
+    }
+
+    @Benchmark
+    public int readSnapshot() throws ProtocolException {
+        int resources = 0;
+        for (byte[] page : encoded.pages()) {
+            SnapshotPage read = ResourceCodec.readSnapshot(page);
+            Check.equal(0, read.unreadable().size());
+            resources += read.resources().size();
+        }
+        Check.equal(encoded.resources(), resources);
+        return resources;
+    }
+
+    @Benchmark
+    public ChangePage readChange() throws ProtocolException {
+        ChangePage read = ResourceCodec.readChanges(changeBytes);
+        Check.equal(1, read.changes().size());
+        return read;
+    }
+
+    @Benchmark
+    public byte[] writeChange() {
+        byte[] written = ResourceCodec.write(change);
+        Check.equal(changeBytes.length, written.length);
+        return written;
+    }
+}
--- a/capacity/src/main/java/ottergauge/capacity/program/ReducerSections.java
+++ b/capacity/src/main/java/ottergauge/capacity/program/ReducerSections.java
@@ -7,6 +7,7 @@
 import ottergauge.capacity.benchmark.DecisionBenchmark;
 import ottergauge.capacity.benchmark.DecisionListBenchmark;
 import ottergauge.capacity.benchmark.ListCodecBenchmark;
+import ottergauge.capacity.benchmark.ResourceCodecBenchmark;
 import ottergauge.capacity.benchmark.RouterListBenchmark;
 import ottergauge.capacity.heap.RetainedHeap;
 import ottergauge.capacity.program.Benchmarks.Plan;
@@ -14,8 +15,11 @@
 import ottergauge.capacity.report.Row;
 import ottergauge.capacity.report.Section;
 import ottergauge.capacity.report.Spread;
+import ottergauge.capacity.workload.EncodedFleet;
 import ottergauge.capacity.workload.Fleet;
 import ottergauge.capacity.workload.Loopback;
+import ottergauge.capacity.workload.VersionedFleet;
+import ottergauge.resources.ResourceCodec;
 
 /** The tables of what runs in memory: reducers and codecs, by JMH, and what they retain, by JOL. */
 final class ReducerSections {
@@ -34,6 +38,10 @@
         new Plan(RouterListBenchmark.class, "takeChange", "router takes one change over"),
         new Plan(DecisionListBenchmark.class, "followWhole", "decisions alone, a whole list"),
         new Plan(DecisionListBenchmark.class, "followChange", "decisions alone, one change"));
+    private static final List<Plan> RESOURCES = List.of(
+        new Plan(ResourceCodecBenchmark.class, "readSnapshot", "read all pages of a snapshot"),
+        new Plan(ResourceCodecBenchmark.class, "readChange", "read one change"),
+        new Plan(ResourceCodecBenchmark.class, "writeChange", "write one change"));
     private static final Plan DECISION = new Plan(DecisionBenchmark.class, "serveRequest",
         "decisions for one request");
     private static final Plan WINDOW = new Plan(DecisionBenchmark.class, "endWindow", "end of a window");
@@ -82,6 +90,32 @@
         return List.of(whole, change);
     }
 
+    Section versionedState() throws RunnerException {
+        List<Row> rows = new ArrayList<>(pages());
+        for (Plan plan : RESOURCES) {
+            rows.addAll(benchmarks.byServers(plan, sizes.servers(), USUAL_CLASSES));
+        }
+        return new Section("Versioned state: services, servers, routes and tenants", List.of(
+            "With 8,000 servers go 500 services, 2,700 routes and 38,000 tenants, with fewer as many in",
+            "proportion. A change is one server that begins to drain or is in service again; a snapshot comes",
+            "in pages of at most " + EncodedFleet.PAGE_BYTES + " bytes."),
+            SERVERS, sizes.servers(), sizes.mostServers(), rows);
+    }
+
+    private List<Row> pages() {
+        Row resources = Row.of("resources", "1");
+        Row snapshot = Row.of("messages: all pages of a snapshot", "B");
+        Row change = Row.of("message: one change", "B");
+        for (int servers : sizes.servers()) {
+            VersionedFleet fleet = VersionedFleet.draw(servers, seed);
+            EncodedFleet encoded = EncodedFleet.of(fleet);
+            resources.put(servers, exactly(encoded.resources()));
+            snapshot.put(servers, exactly(encoded.bytes()));
+            change.put(servers, exactly(ResourceCodec.write(fleet.changePage()).length));
+        }
+        return List.of(resources, snapshot, change);
+    }
+
     Section decisionsByServers() throws RunnerException {
         List<Row> rows = new ArrayList<>();
         rows.addAll(benchmarks.byServers(DECISION, sizes.servers(), USUAL_CLASSES));
--- a/capacity/src/main/java/ottergauge/capacity/program/TableCommand.java
+++ b/capacity/src/main/java/ottergauge/capacity/program/TableCommand.java
@@ -90,6 +90,7 @@
         sections.add(done(log, reducers.heapByServers()));
         sections.add(done(log, reducers.heapByClasses()));
         sections.add(done(log, reducers.lists()));
+        sections.add(done(log, reducers.versionedState()));
         sections.add(done(log, reducers.decisionsByServers()));
         sections.add(done(log, reducers.decisionsByClasses()));
     }
