--- a/capacity/src/main/java/ottergauge/capacity/program/ReducerSections.java
+++ b/capacity/src/main/java/ottergauge/capacity/program/ReducerSections.java
@@ -97,8 +97,8 @@
         }
         return new Section("Versioned state: services, servers, routes and tenants", List.of(
             "With 8,000 servers go 500 services, 2,700 routes and 38,000 tenants, with fewer as many in",
-            "proportion. A change is one server that begins to drain or is in service again; a snapshot comes",
-            "in pages of at most " + EncodedFleet.PAGE_BYTES + " bytes."),
+            "proportion. A change is one server that begins to drain or is in service again; a snapshot ",
+            "comes in pages of at most " + EncodedFleet.PAGE_BYTES + " bytes."),
             SERVERS, sizes.servers(), sizes.mostServers(), rows);
     }
 
