Tell how late the measuring process itself sends

Cause: with 20 and more processes for 8 cores a client that is late measures itself, and the page did not tell. Change: HdrHistogram of the lateness of each request, its 99th percentile in the page; asserted in OpenLoopClientTest.

--- a/capacity/src/main/java/ottergauge/capacity/load/Latencies.java
+++ b/capacity/src/main/java/ottergauge/capacity/load/Latencies.java
@@ -4,10 +4,11 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * What became of requests: the times from the intended instant to the last byte of an answer 200, and how
- * many ended otherwise.
+ * What became of requests: the times from the intended instant to the last byte of an answer 200, how many
+ * ended otherwise, and how late after the intended instant each was sent: a client that is itself late says
+ * little of what it measures.
  */
-public record Latencies(Histogram served, long failed) {
+public record Latencies(Histogram served, long failed, Histogram lateness) {
 
     private static final double NANOS_A_MILLI = 1e6;
 
@@ -15,4 +16,9 @@
     public double milliseconds(double percentile) {
         return served.getValueAtPercentile(percentile) / NANOS_A_MILLI;
     }
+
+    /** The time by which this part of the requests was sent at the latest, in percent. */
+    public double lateMilliseconds(double percentile) {
+        return lateness.getValueAtPercentile(percentile) / NANOS_A_MILLI;
+    }
 }
--- a/capacity/src/main/java/ottergauge/capacity/load/OpenLoopClient.java
+++ b/capacity/src/main/java/ottergauge/capacity/load/OpenLoopClient.java
@@ -50,6 +50,7 @@
     private final Deque<Channel> idle = new ArrayDeque<>();
     private final Set<Channel> connections = new HashSet<>();
     private Histogram served = histogram();
+    private Histogram lateness = histogram();
     private long sent;
     private long open;
     private long failed;
@@ -73,6 +74,7 @@
 
     private void sendNow(long intended) {
         open++;
+        lateness.recordValue(Math.min(LONGEST, System.nanoTime() - intended));
         Channel kept = idle.pollLast();
         if (kept != null) {
             write(kept, intended);
@@ -157,8 +159,9 @@
     /** What has become of the requests since this was asked last; those that are open count later. */
     public Latencies take() {
         return loop.submit(() -> {
-            Latencies taken = new Latencies(served, failed);
+            Latencies taken = new Latencies(served, failed, lateness);
             served = histogram();
+            lateness = histogram();
             failed = 0;
             return taken;
         }).syncUninterruptibly().getNow();
--- a/capacity/src/main/java/ottergauge/capacity/node/NodeFigures.java
+++ b/capacity/src/main/java/ottergauge/capacity/node/NodeFigures.java
@@ -30,5 +30,5 @@
 
     /** Requests through the node, and as many past it meanwhile; CPU of the node for each of its own. */
     public record LoadSlice(double cpuMsPerRequest, double throughMs50, double throughMs99, double directMs50,
-                            double directMs99, long served, long failed) { }
+                            double directMs99, double lateMs99, long served, long failed) { }
 }
--- a/capacity/src/main/java/ottergauge/capacity/node/NodeMeasurement.java
+++ b/capacity/src/main/java/ottergauge/capacity/node/NodeMeasurement.java
@@ -206,6 +206,7 @@
         long requests = through.served().getTotalCount() + through.failed();
         return new LoadSlice(cpuSeconds * MILLIS / Math.max(1, requests), through.milliseconds(50),
             through.milliseconds(99), direct.milliseconds(50), direct.milliseconds(99),
+            through.lateMilliseconds(99),
             through.served().getTotalCount(), through.failed() + direct.failed());
     }
 
--- a/capacity/src/main/java/ottergauge/capacity/program/NodeSections.java
+++ b/capacity/src/main/java/ottergauge/capacity/program/NodeSections.java
@@ -73,7 +73,7 @@
             "Latency counts from the intended instant. The same stand-in for a server, which answers at",
             "once, gets as many requests past the node meanwhile. Added is the difference of the two",
             "percentiles of a time slice (HdrHistogram, three digits). CPU at rest is taken off that of",
-            "requests.");
+            "requests. Where the measuring process itself sends late, latencies say little.");
     }
 
     private static List<Row> starts(Rows rows) {
@@ -115,6 +115,8 @@
             slice -> slice.throughMs50() - slice.directMs50())));
         made.add(rows.of("added, 99th percentile", "ms", each -> slices(each,
             slice -> slice.throughMs99() - slice.directMs99())));
+        made.add(rows.of("sent late by the measuring process, 99th percentile", "ms", each -> slices(each,
+            LoadSlice::lateMs99)));
         made.add(rows.of("requests through the node in a time slice", "1", each -> slices(each,
             LoadSlice::served)));
         made.add(rows.of("requests that were not answered 200", "1", each -> slices(each,
--- a/capacity/src/test/java/ottergauge/capacity/load/OpenLoopClientTest.java
+++ b/capacity/src/test/java/ottergauge/capacity/load/OpenLoopClientTest.java
@@ -42,6 +42,7 @@
             assertEquals(1, latencies.served().getTotalCount());
             assertEquals(0, latencies.failed());
             assertTrue(latencies.milliseconds(50) >= 699, latencies.milliseconds(50) + " ms");
+            assertTrue(latencies.lateMilliseconds(50) >= 699, latencies.lateMilliseconds(50) + " ms late");
         }
     }
 
