Hollow nodes: the program runs many nodes without clients in one process

For reuse, discovery's side takes what opens its connections instead of the client itself, and the library's one loop is made in one place for the node and for hollow nodes; neither changes what a node does.

What is asked of a hollow node that it lacks (a connection to a server) is told as left out.

Not in it yet: settings and control.

--- a/src/main/java/ottergauge/program/Main.java
+++ b/src/main/java/ottergauge/program/Main.java
@@ -11,7 +11,8 @@
 /** The command line: one subcommand for each way of running the node. */
 @Command(name = "ottergauge", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
     description = "A load balancer node.",
-    subcommands = {ServeCommand.class, MigrateCommand.class, RehearseCommand.class, SimHostCommand.class})
+    subcommands = {ServeCommand.class, MigrateCommand.class, RehearseCommand.class, SimHostCommand.class,
+        HollowCommand.class})
 public final class Main implements Runnable {
 
     @Spec
--- a/src/main/java/ottergauge/transport/DiscoverySide.java
+++ b/src/main/java/ottergauge/transport/DiscoverySide.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
-import io.vertx.core.net.NetClient;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,16 +33,16 @@
     // A fleet's whole list, at some hundred bytes a server, may be larger than a request's body.
     private static final int MOST_LIST = 1 << 20;
 
-    private final NetClient client;
+    private final Outbound.Dialer dialer;
     private final Consumer<Event> events;
     /** The calls that are out; those whose connection is not up yet have none. */
     private final Map<Long, Optional<Outbound>> out = new HashMap<>();
     private Outbound idle;
     private Address idleAt;
 
-    DiscoverySide(NetClient client, Consumer<Event> events) {
+    DiscoverySide(Outbound.Dialer dialer, Consumer<Event> events) {
         this.events = events;
-        this.client = client;
+        this.dialer = dialer;
     }
 
     void call(CallDiscovery effect) {
@@ -60,7 +59,7 @@
             kept.close(CloseReason.DISCOVERY_MOVED);
         }
         out.put(effect.call(), Optional.empty());
-        Outbound.connect(client, "discovery", effect.address(), CONNECT_WITHIN_MS, MOST_LIST)
+        dialer.dial("discovery", effect.address(), CONNECT_WITHIN_MS, MOST_LIST)
             .onComplete(opened -> connected(effect, opened), failure -> fail(effect.call(),
                 failure.toString()));
     }
--- /dev/null
+++ b/src/main/java/ottergauge/transport/HollowFleet.java
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.transport;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import ottergauge.protocol.NodeConfig;
+
+/**
+ * Many hollow nodes in one process, on few loops. Nodes of one loop wait for each other: the observer is told
+ * how late each loop came round, and by that whether what it is told is the nodes' doing or the process's.
+ */
+public final class HollowFleet implements AutoCloseable {
+
+    private static final long MICROS = 1_000;
+
+    private final List<HollowLoop> loops = new ArrayList<>();
+    private final int nodes;
+    private final Consumer<HollowEvent> observer;
+
+    /** One node for each configuration; {@code observer} is told on the loops and must not block them. */
+    public HollowFleet(List<NodeConfig> configs, int loops, Consumer<HollowEvent> observer) {
+        this.observer = observer;
+        nodes = configs.size();
+        for (int loop = 0; loop < loops; loop++) {
+            List<NodeConfig> part = new ArrayList<>();
+            for (int i = loop; i < configs.size(); i += loops) {
+                part.add(configs.get(i));
+            }
+            this.loops.add(new HollowLoop(loop, part, HollowFleet::wallMicros, observer));
+        }
+    }
+
+    /** The wall clock, in microseconds. */
+    public static long wallMicros() {
+        Instant now = Instant.now();
+        return TimeUnit.SECONDS.toMicros(now.getEpochSecond()) + now.getNano() / MICROS;
+    }
+
+    /** The bounds, in milliseconds, between which {@link HollowEvent.Late} counts. */
+    public static List<Integer> latenessBounds() {
+        return LoopLateness.BOUNDS;
+    }
+
+    /** Starts all nodes, spread evenly over so many milliseconds. */
+    public CompletableFuture<Void> start(long overMs) {
+        return whenAll(loops.stream().map(loop -> loop.start(overMs)).toList());
+    }
+
+    /** Drops all nodes with their connections and state, and starts them anew at once. */
+    public CompletableFuture<Void> restart() {
+        return whenAll(loops.stream().map(HollowLoop::restart).toList());
+    }
+
+    private CompletableFuture<Void> whenAll(List<CompletableFuture<Void>> parts) {
+        return CompletableFuture.allOf(parts.toArray(new CompletableFuture<?>[0]))
+            .thenRun(() -> observer.accept(new HollowEvent.Started(nodes, wallMicros())));
+    }
+
+    /** Has each node tell how its servers stand. */
+    public void tellServers() {
+        loops.forEach(HollowLoop::tellServers);
+    }
+
+    @Override
+    public void close() {
+        loops.forEach(HollowLoop::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/transport/HollowLoop.java
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.transport;
+
+import io.netty.channel.EventLoop;
+import io.vertx.core.Vertx;
+import io.vertx.core.internal.ContextInternal;
+import io.vertx.core.net.NetClient;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import ottergauge.protocol.NodeConfig;
+import ottergauge.transport.HollowEvent.Source;
+
+/** Hollow nodes that share one loop, and how late that comes round. */
+final class HollowLoop {
+
+    private static final long TELL_EVERY_MS = 500;
+
+    private final int number;
+    private final List<NodeConfig> configs;
+    private final LongSupplier wall;
+    private final Consumer<HollowEvent> observer;
+    private final Vertx vertx = OneLoopTransport.vertx(new LoopWatch(System::nanoTime));
+    private final ContextInternal context = (ContextInternal) vertx.getOrCreateContext();
+    private final NetClient client = vertx.createNetClient();
+    private final HollowCalls calls;
+    private final LoopLateness lateness = new LoopLateness(System.nanoTime());
+    private final List<HollowNode> nodes = new ArrayList<>();
+
+    HollowLoop(int number, List<NodeConfig> configs, LongSupplier wall, Consumer<HollowEvent> observer) {
+        this.number = number;
+        this.configs = configs;
+        this.wall = wall;
+        this.observer = observer;
+        calls = new HollowCalls(Source.DISCOVERY, wall, observer);
+    }
+
+    /** Starts its nodes one after the other over so many milliseconds; completes with the last. */
+    CompletableFuture<Void> start(long overMs) {
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        context.runOnContext(run -> {
+            look();
+            vertx.setPeriodic(TELL_EVERY_MS, due -> tell());
+            startNext(overMs, started);
+        });
+        return started;
+    }
+
+    private void startNext(long overMs, CompletableFuture<Void> started) {
+        long pause = overMs / configs.size();
+        while (nodes.size() < configs.size()) {
+            add(configs.get(nodes.size()));
+            if (pause > 0) {
+                vertx.setTimer(pause, due -> startNext(overMs, started));
+                return;
+            }
+        }
+        started.complete(null);
+    }
+
+    private void add(NodeConfig config) {
+        HollowNode node = new HollowNode(config, vertx, Outbound.dialer(client), wall, calls, observer);
+        nodes.add(node);
+        node.start();
+    }
+
+    /** Drops all nodes with their connections and state, and starts them anew at once. */
+    CompletableFuture<Void> restart() {
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        context.runOnContext(run -> {
+            nodes.forEach(HollowNode::drop);
+            nodes.clear();
+            startNext(0, started);
+        });
+        return started;
+    }
+
+    /** Has each node tell how its servers stand. */
+    void tellServers() {
+        context.runOnContext(run -> nodes.forEach(HollowNode::tellServers));
+    }
+
+    private void look() {
+        EventLoop loop = context.nettyEventLoop();
+        loop.schedule(this::look, lateness.look(System.nanoTime()), TimeUnit.NANOSECONDS);
+    }
+
+    private void tell() {
+        nodes.forEach(HollowNode::tell);
+        calls.tell();
+        observer.accept(new HollowEvent.Late(number, lateness.take(), wall.getAsLong()));
+    }
+
+    /** Ends all of it. */
+    void close() {
+        vertx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/transport/HollowNode.java
@@ -0,0 +1,166 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.transport;
+
+import io.netty.channel.Channel;
+import io.vertx.core.Vertx;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import ottergauge.protocol.HostList;
+import ottergauge.protocol.NodeConfig;
+import ottergauge.routing.Effect;
+import ottergauge.routing.Event;
+import ottergauge.routing.OperatorCall;
+import ottergauge.routing.Router;
+import ottergauge.transport.HollowEvent.CallKind;
+import ottergauge.transport.HollowEvent.InForce;
+import ottergauge.transport.HollowEvent.Servers;
+import ottergauge.transport.HollowEvent.Source;
+
+/**
+ * One node without clients, listener and servers: the reducer, the decisions, the codecs and the connections
+ * by which it follows its list are those of a real one. It lives from {@link #start} to {@link #drop}; what
+ * comes for it after that is passed over. All of it is used on one loop.
+ */
+final class HollowNode {
+
+    private static final Logger LOG = LoggerFactory.getLogger(HollowNode.class);
+    private static final int DIGEST_BYTES = 8;
+    // An operator's call has a number; the node answers at once, so that one number serves for all.
+    private static final long CALLER = 1;
+
+    private final NodeConfig config;
+    private final LongSupplier wall;
+    private final Consumer<HollowEvent> observer;
+    private final HollowCalls calls;
+    private final HollowTraffic traffic;
+    private final Clock clock = new Clock();
+    private final Timers timers;
+    private final EventQueue events = new EventQueue(this::handle);
+    private final Set<Channel> open = new HashSet<>();
+    private final DiscoverySide discovery;
+    private final Router router;
+    private boolean dropped;
+    /** The version of the list in force, and the one that the event in hand may bring in force. */
+    private long inForce;
+    private long next;
+
+    /** {@code wall} is the clock that the observer is told instants of. */
+    HollowNode(NodeConfig config, Vertx vertx, Outbound.Dialer dialer, LongSupplier wall, HollowCalls calls,
+               Consumer<HollowEvent> observer) {
+        this.config = config;
+        this.wall = wall;
+        this.observer = observer;
+        this.calls = calls;
+        traffic = new HollowTraffic(config.name(), Source.DISCOVERY, wall, observer);
+        timers = new Timers(clock::micros, (millis, task) -> vertx.setTimer(millis, fired -> task.run()));
+        discovery = new DiscoverySide((side, address, timeoutMs, mostBody) ->
+            dialer.dial(side, address, timeoutMs, mostBody).map(this::counted), this::take);
+        router = new Router(config, this::carryOut);
+        inForce = config.known().seq();
+    }
+
+    private Outbound counted(Outbound connection) {
+        Channel channel = connection.context().channel();
+        channel.pipeline().addFirst(traffic.counter());
+        open.add(channel);
+        channel.closeFuture().addListener(closed -> open.remove(channel));
+        return connection;
+    }
+
+    void start() {
+        router.start(clock.micros());
+    }
+
+    /** Ends it as if its process were killed: its connections are closed and it does nothing any more. */
+    void drop() {
+        dropped = true;
+        List.copyOf(open).forEach(Channel::close);
+        traffic.tell();
+    }
+
+    /** Tells what has been counted and not told yet. */
+    void tell() {
+        traffic.tell();
+    }
+
+    /** Tells how all servers stand in the decisions that are in force. */
+    void tellServers() {
+        take(new Event.OperatorAsked(CALLER, new OperatorCall.Servers()));
+    }
+
+    private void take(Event event) {
+        if (!dropped) {
+            events.take(event);
+        }
+    }
+
+    private void handle(Event event) {
+        next = inForce;
+        try {
+            router.handle(clock.micros(), event);
+        } catch (RuntimeException e) {
+            LOG.error("{}: an event was not handled: {}", config.name(), event, e);
+        }
+        if (next != inForce) {
+            inForce = next;
+            HostList list = event instanceof Event.ListRead read ? read.list() : HostList.EMPTY;
+            observer.accept(new InForce(config.name(), Source.DISCOVERY, inForce, list.whole(),
+                list.hosts().size(), wall.getAsLong()));
+        }
+    }
+
+    private void carryOut(Effect effect) {
+        if (effect instanceof Effect.CallDiscovery e) {
+            call(e);
+        } else if (effect instanceof Effect.GiveUpCall e) {
+            calls.count(CallKind.FAILED);
+            discovery.giveUp(e);
+        } else if (effect instanceof Effect.StartTimer e) {
+            timers.start(e.delay(), () -> take(new Event.TimerFired(e.timer())));
+        } else if (effect instanceof Effect.TellOperator e) {
+            observer.accept(servers(e.text()));
+        } else if (effect instanceof Effect.Connect e) {
+            leftOut(effect);
+            take(new Event.ConnectFailed(e.connection()));
+        } else if (!(effect instanceof Effect.AcceptUpTo)) {
+            leftOut(effect);
+        }
+    }
+
+    // A call that goes on from a version asks for what is newer: what it names is in force once the event in
+    // hand is handled.
+    private void call(Effect.CallDiscovery effect) {
+        next = effect.after();
+        calls.count(effect.after() <= HostList.EMPTY.seq() ? CallKind.WHOLE : CallKind.CHANGES);
+        discovery.call(effect);
+    }
+
+    private void leftOut(Effect effect) {
+        observer.accept(new HollowEvent.LeftOut(config.name(), effect.getClass().getSimpleName(),
+            wall.getAsLong()));
+    }
+
+    // The order of names is that in which they were heard of first, which differs from node to node.
+    private Servers servers(String text) {
+        List<String> lines = new ArrayList<>(text.lines().toList());
+        lines.sort(null);
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            lines.forEach(line -> digest.update((line + '\n').getBytes(StandardCharsets.UTF_8)));
+            String hex = HexFormat.of().formatHex(digest.digest(), 0, DIGEST_BYTES);
+            return new Servers(config.name(), lines.size(), hex, wall.getAsLong());
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ottergauge/transport/HollowTraffic.java
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.transport;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import ottergauge.transport.HollowEvent.Source;
+import ottergauge.transport.HollowEvent.Traffic;
+
+/**
+ * Counts the bytes of one node's connections to one source of its state, as they pass their sockets, in spans
+ * of equal length. What the system adds to them on the way is not in it.
+ */
+final class HollowTraffic {
+
+    /** In microseconds. */
+    static final long SPAN = TimeUnit.MILLISECONDS.toMicros(100);
+
+    private final String node;
+    private final Source source;
+    private final LongSupplier clock;
+    private final Consumer<HollowEvent> observer;
+    private long spanAt;
+    private long bytesIn;
+    private long bytesOut;
+
+    HollowTraffic(String node, Source source, LongSupplier clock, Consumer<HollowEvent> observer) {
+        this.node = node;
+        this.source = source;
+        this.clock = clock;
+        this.observer = observer;
+    }
+
+    /** A handler that counts a connection's bytes; it belongs in front of all that reads or writes them. */
+    ChannelDuplexHandler counter() {
+        return new ChannelDuplexHandler() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                count(length(message), 0);
+                context.fireChannelRead(message);
+            }
+
+            @Override
+            public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                count(0, length(message));
+                context.write(message, promise);
+            }
+        };
+    }
+
+    private static int length(Object message) {
+        return message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+    }
+
+    private void count(int in, int out) {
+        long now = clock.getAsLong();
+        if (now - spanAt >= SPAN) {
+            tell();
+            spanAt = now - now % SPAN;
+        }
+        bytesIn += in;
+        bytesOut += out;
+    }
+
+    /** Tells what has been counted and not told yet. */
+    void tell() {
+        if (bytesIn + bytesOut > 0) {
+            observer.accept(new Traffic(node, source, bytesIn, bytesOut, spanAt));
+            bytesIn = 0;
+            bytesOut = 0;
+        }
+    }
+}
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -5,10 +5,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
-import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.internal.ContextInternal;
-import io.vertx.core.internal.VertxBootstrap;
 import io.vertx.core.net.NetClient;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -54,14 +51,7 @@
     public NodeServer(NodeConfig told, Path folder) {
         shared = told.management() == null || folder == null ? null : open(folder);
         config = shared == null ? told : shared.freshest(told);
-        // Addresses are numbers: nothing is asked of DNS.
-        System.setProperty("vertx.disableDnsResolver", "true");
-        // One loop owns all; the pools for blocking work have nothing to do. No files: they count as memory.
-        VertxOptions options = new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
-            .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
-                .setClassPathResolvingEnabled(false).setFileCachingEnabled(false));
-        vertx = VertxBootstrap.create().options(options).transport(new OneLoopTransport(watch)).init()
-            .vertx();
+        vertx = OneLoopTransport.vertx(watch);
         context = (ContextInternal) vertx.getOrCreateContext();
         timers = new Timers(clock::micros, (millis, task) -> vertx.setTimer(millis, fired -> task.run()));
         router = new Router(config, this::carryOut);
@@ -69,7 +59,7 @@
         client = vertx.createNetClient();
         servers = new ServerSide((address, timeoutMs) ->
             Outbound.connect(client, "server", address, timeoutMs, Headers.MOST_BODY), events::take);
-        discovery = new DiscoverySide(client, events::take);
+        discovery = new DiscoverySide(Outbound.dialer(client), events::take);
         door = new Door(context.nettyEventLoop(), watch, events::take);
     }
 
--- a/src/main/java/ottergauge/transport/OneLoopTransport.java
+++ b/src/main/java/ottergauge/transport/OneLoopTransport.java
@@ -4,7 +4,11 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.nio.NioIoHandler;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.impl.transports.NioTransport;
+import io.vertx.core.internal.VertxBootstrap;
 import java.nio.channels.spi.SelectorProvider;
 import java.util.concurrent.ThreadFactory;
 
@@ -23,6 +27,17 @@
         this.watch = watch;
     }
 
+    /** The library with one loop that owns all and tells {@code watch} of each of its rounds. */
+    static Vertx vertx(LoopWatch watch) {
+        // Addresses are numbers: nothing is asked of DNS.
+        System.setProperty("vertx.disableDnsResolver", "true");
+        // The pools for blocking work have nothing to do. No files: they count as memory.
+        VertxOptions options = new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+            .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
+                .setClassPathResolvingEnabled(false).setFileCachingEnabled(false));
+        return VertxBootstrap.create().options(options).transport(new OneLoopTransport(watch)).init().vertx();
+    }
+
     @Override
     public IoHandlerFactory ioHandlerFactory() {
         return NioIoHandler.newFactory(SelectorProvider.provider(), () -> watch);
--- a/src/main/java/ottergauge/transport/Outbound.java
+++ b/src/main/java/ottergauge/transport/Outbound.java
@@ -39,6 +39,12 @@
      */
     record Answer(int status, HttpHeaders headers, byte[] body, long length, boolean reusable) { }
 
+    /** Opens connections; {@code side} is what the log calls the other end. */
+    @FunctionalInterface
+    interface Dialer {
+        Future<Outbound> dial(String side, Address address, long timeoutMs, int mostBody);
+    }
+
     private enum Stage { QUIET, ASKED, BODY, WHOLE, FLOWING, FLOWED }
 
     private final Framing.Answers decoder;
@@ -69,6 +75,10 @@
         this.mostBody = mostBody;
     }
 
+    static Dialer dialer(NetClient client) {
+        return (side, address, timeoutMs, mostBody) -> connect(client, side, address, timeoutMs, mostBody);
+    }
+
     /** Opens a connection; one that does not come up leaves its log line here. */
     static Future<Outbound> connect(NetClient client, String side, Address address, long timeoutMs,
                                     int mostBody) {
