The laboratory plays tests of scale: hollow nodes before discovery, links between regions, phase by phase

`scale SCENARIO.yaml` starts hollow nodes (some hundred in a process), a few real ones by the line `run`, a stand-in for discovery and a relay for the links between regions, each in a process of its own, and plays phases: rest, changes drawn by chance (compressed by a factor that is told), a release, a restart of all, a zone lost, regions apart and healed, discovery killed at the instant of a change, a process stopped.

Two things of the rig itself were found on a machine at a load of 20 and mended: a silent listener let a connection up because the connections that fill its queue were given 1 ms each (they are not waited for now); and a play that began right after another could not listen, because a process that is being started holds the rig's sockets until it has become its own program (the first bind is tried again for 2 s).

--- a/lab/src/main/java/ottergauge/lab/net/Addresses.java
+++ b/lab/src/main/java/ottergauge/lab/net/Addresses.java
@@ -75,6 +75,12 @@
         return at(BY_NODE + node, other, port + 1);
     }
 
+    /** Reads HOST:PORT, as {@link #text} writes it. */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
     public static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
--- a/lab/src/main/java/ottergauge/lab/net/Listener.java
+++ b/lab/src/main/java/ottergauge/lab/net/Listener.java
@@ -12,9 +12,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 /**
@@ -28,12 +30,14 @@
     private static final int SHORT_BACKLOG = 1;
     private static final int FILLING = 3;
     private static final long AGAIN = 1_000;
+    private static final int FIRST_TRIES = 100;
+    private static final long FIRST_PAUSE = TimeUnit.MILLISECONDS.toNanos(20);
 
     private final Loop loop;
     private final InetSocketAddress address;
     private final Link link;
     private final Consumer<ChannelPipeline> accepted;
-    private final List<Socket> filling = new ArrayList<>();
+    private final List<SocketChannel> filling = new ArrayList<>();
     private Channel channel;
     private ServerSocket silent;
     private boolean up = true;
@@ -52,6 +56,12 @@
         this.accepted = accepted;
         link.whenDoorMoves(this::move);
         ChannelFuture bound = open().awaitUninterruptibly();
+        // On a busy machine a process of the play before may hold this address for a moment: until the one
+        // that is being started has become its own program, it has all that the rig had open.
+        for (int tries = 1; !bound.isSuccess() && tries < FIRST_TRIES; tries++) {
+            LockSupport.parkNanos(FIRST_PAUSE);
+            bound = open().awaitUninterruptibly();
+        }
         if (!bound.isSuccess()) {
             throw new IOException("cannot listen on " + Addresses.text(address), bound.cause());
         }
@@ -111,14 +121,12 @@
         silent = new ServerSocket();
         silent.setReuseAddress(true);
         silent.bind(address, SHORT_BACKLOG);
+        // Not waited for: a busy machine may take its time over them, but it takes them in turn.
         for (int i = 0; i < FILLING; i++) {
-            Socket socket = new Socket();
+            SocketChannel socket = SocketChannel.open();
             filling.add(socket);
-            try {
-                socket.connect(address, 1);
-            } catch (IOException e) {
-                return;
-            }
+            socket.configureBlocking(false);
+            socket.connect(address);
         }
     }
 
@@ -129,7 +137,7 @@
         }
         closeQuietly(silent);
         silent = null;
-        for (Socket socket : filling) {
+        for (SocketChannel socket : filling) {
             closeQuietly(socket);
         }
         filling.clear();
--- /dev/null
+++ b/lab/src/main/java/ottergauge/lab/program/ScaleCommand.java
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+package ottergauge.lab.program;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import ottergauge.lab.play.PlayException;
+import ottergauge.lab.scale.play.ScalePlay;
+import ottergauge.lab.scale.report.ScaleReport;
+import ottergauge.lab.scale.scenario.ScaleScenario;
+import ottergauge.lab.scale.scenario.ScaleScenarioReader;
+import ottergauge.lab.scenario.ScenarioException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * Plays one scale test: exit code 0 if all nodes came to go by all that was changed, 1 if not, if the rig was
+ * late or if it could not be played, 2 if the scenario is wrong.
+ */
+@Command(name = "scale", mixinStandardHelpOptions = true,
+    description = "Play a scale test with hollow nodes and report.")
+final class ScaleCommand implements Callable<Integer> {
+
+    private static final int BAD_INPUT = 2;
+
+    @Parameters(paramLabel = "SCENARIO", description = "The scenario, as YAML.")
+    private Path file;
+
+    @Option(names = "--seed", description = "Another seed than the scenario's.")
+    private Long seed;
+
+    @Option(names = "--root", defaultValue = ".", description = "The folder of the program under test.")
+    private Path root;
+
+    @Option(names = "--logs", description = "Where configurations and logs are kept; a temporary folder"
+        + " unless given.")
+    private Path logs;
+
+    @Option(names = "--json", description = "Where the report for programs is written.")
+    private Path json;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        PrintWriter err = spec.commandLine().getErr();
+        ScaleScenario scenario;
+        try {
+            scenario = ScaleScenarioReader.read(file);
+        } catch (ScenarioException e) {
+            err.println(e.getMessage());
+            return BAD_INPUT;
+        }
+        scenario = seed == null ? scenario : scenario.withSeed(seed);
+        Path folder = logs == null ? Files.createTempDirectory("scale") : Files.createDirectories(logs);
+        try {
+            ScalePlay play = new ScalePlay(scenario, root.toAbsolutePath(), RunCommand.runLine(root),
+                folder.toAbsolutePath());
+            ScaleReport report = new ScaleReport(scenario, play.run());
+            report.print(spec.commandLine().getOut());
+            if (json != null) {
+                Files.writeString(json, report.json());
+            }
+            return report.reached() ? 0 : 1;
+        } catch (PlayException e) {
+            err.println(e.getMessage());
+            return 1;
+        }
+    }
+}
--- a/lab/src/main/java/ottergauge/lab/scenario/Entry.java
+++ b/lab/src/main/java/ottergauge/lab/scenario/Entry.java
@@ -1,12 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.lab.scenario;
 
+import java.io.StringReader;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.snakeyaml.engine.v2.api.LoadSettings;
+import org.snakeyaml.engine.v2.api.lowlevel.Compose;
+import org.snakeyaml.engine.v2.exceptions.MarkedYamlEngineException;
+import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
 import org.snakeyaml.engine.v2.nodes.MappingNode;
 import org.snakeyaml.engine.v2.nodes.Node;
 import org.snakeyaml.engine.v2.nodes.NodeTuple;
@@ -17,14 +22,14 @@
  * A mapping of a scenario file that knows its lines. Each value is asked for with what it may be; what nobody
  * asked for is an unknown key and is told by {@link #done}.
  */
-final class Entry {
+public final class Entry {
 
     /** What a number may be. */
-    record Range(double least, double most, String words) {
-        static final Range PART = new Range(0, 1, "a part from 0 to 1");
-        static final Range POSITIVE = new Range(1e-9, 1e9, "a number over 0");
-        static final Range ANY = new Range(0, 1e9, "a number of 0 or more");
-        static final Range COUNT = new Range(1, 100_000, "a whole number of 1 or more");
+    public record Range(double least, double most, String words) {
+        public static final Range PART = new Range(0, 1, "a part from 0 to 1");
+        public static final Range POSITIVE = new Range(1e-9, 1e9, "a number over 0");
+        public static final Range ANY = new Range(0, 1e9, "a number of 0 or more");
+        public static final Range COUNT = new Range(1, 100_000, "a whole number of 1 or more");
     }
 
     private static final Map<String, Double> UNITS = Map.of("us", 1.0, "ms", 1e3, "s", 1e6, "min", 60e6);
@@ -39,7 +44,21 @@
         this.line = line;
     }
 
-    static Entry of(String file, Node node) throws ScenarioException {
+    /** Reads a file's text, which is one mapping; {@code file} is what messages call it. */
+    public static Entry root(String file, String text) throws ScenarioException {
+        try {
+            return of(file, new Compose(LoadSettings.builder().setLabel(file).build())
+                .composeReader(new StringReader(text))
+                .orElseThrow(() -> new ScenarioException(file + ":1: expected keys with values")));
+        } catch (MarkedYamlEngineException e) {
+            int line = e.getProblemMark().map(mark -> mark.getLine() + 1).orElse(0);
+            throw new ScenarioException(file + ":" + line + ": no YAML: " + e.getProblem());
+        } catch (YamlEngineException e) {
+            throw new ScenarioException(file + ": no YAML: " + e.getMessage());
+        }
+    }
+
+    private static Entry of(String file, Node node) throws ScenarioException {
         int line = line(node);
         if (!(node instanceof MappingNode mapping)) {
             throw new ScenarioException(file + ":" + line + ": expected keys with values");
@@ -60,14 +79,14 @@
         return node.getStartMark().map(mark -> mark.getLine() + 1).orElse(0);
     }
 
-    ScenarioException fault(String key, String allowed) {
+    public ScenarioException fault(String key, String allowed) {
         Node node = values.get(key);
         String told = node instanceof ScalarNode scalar ? ", not " + scalar.getValue() : "";
         return new ScenarioException(file + ":" + (node == null ? line : line(node)) + ": " + key + ": "
             + (node == null ? "missing; " : "") + allowed + told);
     }
 
-    boolean has(String key) {
+    public boolean has(String key) {
         asked.add(key);
         return values.containsKey(key);
     }
@@ -80,7 +99,7 @@
         return scalar.getValue();
     }
 
-    String text(String key) throws ScenarioException {
+    public String text(String key) throws ScenarioException {
         String text = scalar(key, "a word");
         if (text.isBlank()) {
             throw fault(key, "a word");
@@ -88,11 +107,11 @@
         return text;
     }
 
-    String text(String key, String absent) throws ScenarioException {
+    public String text(String key, String absent) throws ScenarioException {
         return has(key) ? text(key) : absent;
     }
 
-    <E extends Enum<E>> E oneOf(String key, Class<E> kind, E absent) throws ScenarioException {
+    public <E extends Enum<E>> E oneOf(String key, Class<E> kind, E absent) throws ScenarioException {
         if (absent != null && !has(key)) {
             return absent;
         }
@@ -108,7 +127,7 @@
         return kind.getEnumConstants()[index];
     }
 
-    double number(String key, Range range) throws ScenarioException {
+    public double number(String key, Range range) throws ScenarioException {
         try {
             double value = Double.parseDouble(scalar(key, range.words()));
             if (value >= range.least() && value <= range.most()) {
@@ -120,11 +139,11 @@
         throw fault(key, range.words());
     }
 
-    double number(String key, Range range, double absent) throws ScenarioException {
+    public double number(String key, Range range, double absent) throws ScenarioException {
         return has(key) ? number(key, range) : absent;
     }
 
-    int count(String key) throws ScenarioException {
+    public int count(String key) throws ScenarioException {
         double value = number(key, Range.COUNT);
         if (value != Math.rint(value)) {
             throw fault(key, Range.COUNT.words());
@@ -132,11 +151,11 @@
         return (int) value;
     }
 
-    int count(String key, int absent) throws ScenarioException {
+    public int count(String key, int absent) throws ScenarioException {
         return has(key) ? count(key) : absent;
     }
 
-    long whole(String key, long absent) throws ScenarioException {
+    public long whole(String key, long absent) throws ScenarioException {
         if (!has(key)) {
             return absent;
         }
@@ -148,7 +167,7 @@
         }
     }
 
-    boolean flag(String key, boolean absent) throws ScenarioException {
+    public boolean flag(String key, boolean absent) throws ScenarioException {
         if (!has(key)) {
             return absent;
         }
@@ -160,7 +179,7 @@
     }
 
     /** A span with its unit, in microseconds. */
-    long span(String key) throws ScenarioException {
+    public long span(String key) throws ScenarioException {
         String allowed = "a time with its unit, such as 250ms or 1.5s";
         String text = scalar(key, allowed).trim();
         int digits = 0;
@@ -178,11 +197,11 @@
         throw fault(key, allowed);
     }
 
-    long span(String key, long absent) throws ScenarioException {
+    public long span(String key, long absent) throws ScenarioException {
         return has(key) ? span(key) : absent;
     }
 
-    Entry child(String key) throws ScenarioException {
+    public Entry child(String key) throws ScenarioException {
         asked.add(key);
         Node node = values.get(key);
         if (node == null) {
@@ -192,11 +211,11 @@
     }
 
     /** A mapping that may be left out: all of it then takes what is usual. */
-    Entry childOrNone(String key) throws ScenarioException {
+    public Entry childOrNone(String key) throws ScenarioException {
         return has(key) ? child(key) : new Entry(file, line);
     }
 
-    List<Entry> children(String key) throws ScenarioException {
+    public List<Entry> children(String key) throws ScenarioException {
         asked.add(key);
         List<Entry> children = new ArrayList<>();
         if (values.get(key) instanceof SequenceNode list) {
@@ -209,7 +228,7 @@
         return children;
     }
 
-    List<String> texts(String key) throws ScenarioException {
+    public List<String> texts(String key) throws ScenarioException {
         asked.add(key);
         List<String> texts = new ArrayList<>();
         if (values.get(key) instanceof SequenceNode list) {
@@ -226,7 +245,7 @@
     }
 
     /** Names the first key that nobody asked for. */
-    void done(String... known) throws ScenarioException {
+    public void done(String... known) throws ScenarioException {
         asked.addAll(List.of(known));
         for (String key : values.keySet()) {
             if (!asked.contains(key)) {
--- a/lab/src/main/java/ottergauge/lab/scenario/ScenarioReader.java
+++ b/lab/src/main/java/ottergauge/lab/scenario/ScenarioReader.java
@@ -2,18 +2,12 @@
 package ottergauge.lab.scenario;
 
 import java.io.IOException;
-import java.io.StringReader;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.snakeyaml.engine.v2.api.LoadSettings;
-import org.snakeyaml.engine.v2.api.lowlevel.Compose;
-import org.snakeyaml.engine.v2.exceptions.MarkedYamlEngineException;
-import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
-import org.snakeyaml.engine.v2.nodes.Node;
 import ottergauge.lab.scenario.Entry.Range;
 import ottergauge.lab.scenario.Scenario.Clients;
 import ottergauge.lab.scenario.Scenario.Effect;
@@ -51,18 +45,7 @@
 
     /** Reads a scenario's text; {@code file} is what messages call it. */
     public static Scenario read(String file, String text) throws ScenarioException {
-        Node root;
-        try {
-            root = new Compose(LoadSettings.builder().setLabel(file).build())
-                .composeReader(new StringReader(text))
-                .orElseThrow(() -> new ScenarioException(file + ":1: expected keys with values"));
-        } catch (MarkedYamlEngineException e) {
-            int line = e.getProblemMark().map(mark -> mark.getLine() + 1).orElse(0);
-            throw new ScenarioException(file + ":" + line + ": no YAML: " + e.getProblem());
-        } catch (YamlEngineException e) {
-            throw new ScenarioException(file + ": no YAML: " + e.getMessage());
-        }
-        return new ScenarioReader(file).scenario(Entry.of(file, root));
+        return new ScenarioReader(file).scenario(Entry.root(file, text));
     }
 
     private Scenario scenario(Entry root) throws ScenarioException {
--- a/lab/src/test/java/ottergauge/lab/net/LinkTest.java
+++ b/lab/src/test/java/ottergauge/lab/net/LinkTest.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -235,4 +236,21 @@
             assertTrue(System.nanoTime() - from >= 100_000_000, "ten bytes at a hundred a second");
         }
     }
+
+    /** Guards against a play that ends since the one before it gives its addresses back late. */
+    @Test
+    void anAddressThatIsNotYetGivenBackIsTriedAgain() throws Exception {
+        ServerSocket before = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        loop.netty().schedule(() -> {
+            before.close();
+            return null;
+        }, SOON_MS, TimeUnit.MILLISECONDS);
+        InetSocketAddress held = (InetSocketAddress) before.getLocalSocketAddress();
+        Listener late = new Listener(loop, held, new Links(1).add("n2", "s1", 0, 0), pipeline -> { });
+        try (Socket socket = new Socket()) {
+            socket.connect(held, PATIENCE_MS);
+        } finally {
+            late.end();
+        }
+    }
 }
