--- a/src/main/java/ottergauge/transport/HollowNode.java
+++ b/src/main/java/ottergauge/transport/HollowNode.java
@@ -64,7 +64,8 @@
         traffic = new HollowTraffic(config.name(), Source.DISCOVERY, wall, observer);
         timers = new Timers(clock::micros, (millis, task) -> vertx.setTimer(millis, fired -> task.run()));
         discovery = new DiscoverySide((side, address, timeoutMs, mostBody) ->
-            dialer.dial(side, address, timeoutMs, mostBody).map(this::counted), this::take);
+            dialer.dial(side, address, timeoutMs, mostBody).map(this::counted), config.mostListBytes(),
+            this::take);
         router = new Router(config, this::carryOut);
         inForce = config.known().seq();
     }
