--- a/src/main/java/ottergauge/transport/DiscoverySide.java
+++ b/src/main/java/ottergauge/transport/DiscoverySide.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
-import io.vertx.core.net.NetClient;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,7 +32,7 @@
     private static final int OK = 200;
     private static final long CONNECT_WITHIN_MS = 2_000;
 
-    private final NetClient client;
+    private final Outbound.Dialer dialer;
     /** The largest list that is read, in bytes. */
     private final int mostListBytes;
     private final Consumer<Event> events;
@@ -42,9 +41,9 @@
     private Outbound idle;
     private Address idleAt;
 
-    DiscoverySide(NetClient client, int mostListBytes, Consumer<Event> events) {
+    DiscoverySide(Outbound.Dialer dialer, int mostListBytes, Consumer<Event> events) {
         this.events = events;
-        this.client = client;
+        this.dialer = dialer;
         this.mostListBytes = mostListBytes;
     }
 
@@ -62,7 +61,7 @@
             kept.close(CloseReason.DISCOVERY_MOVED);
         }
         out.put(effect.call(), Optional.empty());
-        Outbound.connect(client, "discovery", effect.address(), CONNECT_WITHIN_MS, mostListBytes)
+        dialer.dial("discovery", effect.address(), CONNECT_WITHIN_MS, mostListBytes)
             .onComplete(opened -> connected(effect, opened), failure -> fail(effect.call(),
                 failure.toString()));
     }
