Long answers that are read slowly no longer stall the event loop

Cause: the budget admitted 384 streams (two for each MB of the memory limit), while the process had 16 MB of direct memory whatever that limit is, and one stream held up to 128 KiB: a read brought up to 64 KiB, the buffered beginning was one part of 64 KiB, and a buffer is free only once all of it is written. Each allocation that found no memory stalled the event loop for half a second and then closed a server's connection as malformed.

Change: a read brings 16 KiB at most and the buffered beginning is passed on in parts of that size, so that a stream holds 64 KiB at most. A write that fails (which does not close the channel if memory is short) ends its connection: a kept client had waited for ever, and a relayed body could have had a gap. Errors on a connection are logged.

--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -36,6 +36,7 @@
     private static final int UNAVAILABLE = 503;
     // Bounds how late a timeout takes effect: a timeout of 2 s must take effect within 3 s.
     private static final long SWEEP_INTERVAL_MICROS = 250_000;
+    private static final long UNLIMITED = Long.MAX_VALUE;
 
     private final NodeConfig config;
     private final Consumer<Effect> effects;
@@ -55,12 +56,19 @@
     private long now;
     private boolean serving;
 
+    /** Creates a router that has not started, for a transport that needs no I/O memory. */
+    public Router(NodeConfig config, Consumer<Effect> effects) {
+        this(config, UNLIMITED, effects);
+    }
+
     /**
      * Creates a router that has not started.
      *
+     * @param ioMemoryBytes how much memory the process has for I/O buffers; bounds the number of
+     *     streamed bodies
      * @param effects receives the effects in the order in which they must be carried out
      */
-    public Router(NodeConfig config, Consumer<Effect> effects) {
+    public Router(NodeConfig config, long ioMemoryBytes, Consumer<Effect> effects) {
         this.config = config;
         this.effects = effects;
         NodeSettings initial = config.settings();
@@ -76,7 +84,7 @@
                         config, upstreams, decisionEvents::add, this::endAsNotSent, effects);
         settings = new EffectiveSettings(config, endpoints, upstreams, metrics);
         InFlightRequests inFlight = new InFlightRequests();
-        StreamBudget streams = new StreamBudget(config.memoryMb(), sockets);
+        StreamBudget streams = new StreamBudget(config.memoryMb(), ioMemoryBytes, sockets);
         attempts =
                 new Attempts(
                         upstreams,
--- a/src/main/java/ottergauge/routing/StreamBudget.java
+++ b/src/main/java/ottergauge/routing/StreamBudget.java
@@ -5,30 +5,46 @@
 import java.util.Set;
 
 /**
- * Limits how many request and response bodies are streamed at the same time, in proportion to the
- * memory limit. During a hot restart each of the node's two processes has half of it.
+ * Limits how many request and response bodies are streamed at the same time. All streams together
+ * hold at most a part of the memory limit, of which each of the node's two processes has half
+ * during a hot restart, and at most a part of the memory that the process has for I/O buffers.
  */
 final class StreamBudget {
 
-    // A stream holds at most 64 KiB in memory, so that all streams together hold at most an eighth
-    // of the limit.
-    private static final int STREAMS_PER_MB = 2;
+    // The transport's limits on reads and on bytes that wait to be written bound what one stream
+    // holds.
+    private static final long MAX_BYTES_PER_STREAM = 64 * 1024;
+    private static final long BYTES_PER_MB = 1024 * 1024;
+    private static final double MEMORY_RATIO = 0.125;
+    // The rest is for small messages and for the allocator, whose chunks are seldom full. An
+    // allocation that finds no free I/O memory blocks the event loop for half a second.
+    private static final double IO_MEMORY_RATIO = 0.6;
     private static final int MIN_STREAMS = 2;
     // Fraction of the streams that requests may use. The rest is reserved for responses, because
     // servers have done the work for them and they can no longer be rejected.
     private static final double REQUEST_RATIO = 0.75;
 
-    private final int memoryMb;
+    private final long memoryBytes;
+    private final long ioMemoryBytes;
     private final SocketBudget sockets;
     private final Set<InFlightRequest> streaming = new HashSet<>();
 
-    StreamBudget(int memoryMb, SocketBudget sockets) {
-        this.memoryMb = memoryMb;
+    /**
+     * Creates a budget with no streams.
+     *
+     * @param memoryMb the node's memory limit
+     * @param ioMemoryBytes how much memory this process has for I/O buffers
+     */
+    StreamBudget(int memoryMb, long ioMemoryBytes, SocketBudget sockets) {
+        memoryBytes = memoryMb * BYTES_PER_MB;
+        this.ioMemoryBytes = ioMemoryBytes;
         this.sockets = sockets;
     }
 
     private int maxStreams() {
-        return Math.max(MIN_STREAMS, memoryMb * STREAMS_PER_MB / (sockets.isShared() ? 2 : 1));
+        double ofLimit = memoryBytes * MEMORY_RATIO / (sockets.isShared() ? 2 : 1);
+        double ofIoMemory = ioMemoryBytes * IO_MEMORY_RATIO;
+        return (int) Math.max(MIN_STREAMS, Math.min(ofLimit, ofIoMemory) / MAX_BYTES_PER_STREAM);
     }
 
     /** Whether one more request may be streamed. */
--- a/src/main/java/ottergauge/transport/BodyRelay.java
+++ b/src/main/java/ottergauge/transport/BodyRelay.java
@@ -75,7 +75,7 @@
     }
 
     private void write(HttpContent part) {
-        ChannelFuture written = destination.context().write(part);
+        ChannelFuture written = destination.write(part);
         if (part instanceof LastHttpContent) {
             // The source can carry further messages now, even while the destination still writes
             // this body.
--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.transport;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -303,9 +304,8 @@
         boolean closes = effect.closeAfter() || clientCloses;
         FullHttpResponse response = ClientResponses.complete(effect, closes);
         dropStream();
-        context()
-                .writeAndFlush(response)
-                .addListener(written -> onResponseWritten(closes, written.isSuccess()));
+        ChannelFuture sent = writeAndFlush(response);
+        sent.addListener(written -> onResponseWritten(closes, written.isSuccess()));
         awaitNextRequest(closes);
     }
 
--- a/src/main/java/ottergauge/transport/Connection.java
+++ b/src/main/java/ottergauge/transport/Connection.java
@@ -1,12 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.transport;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import ottergauge.routing.CloseReason;
 
 /** An open HTTP connection. If several reasons are given for its end, the first one is reported. */
@@ -19,17 +25,35 @@
      */
     static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
 
+    /**
+     * Limits one read of a connection. Together with {@link #WATER_MARK} it bounds the memory of a
+     * relayed body: the bytes that wait when the node reads for the last time, that read, and the
+     * buffer that is partly written.
+     */
+    static final int MAX_READ_BYTES = 16 * 1024;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2048;
+
+    private static final Logger LOG = LoggerFactory.getLogger(Connection.class);
+
     private final String side;
     private ChannelHandlerContext context;
     private String address;
     private CloseReason closeReason;
     private Runnable writableHandler = () -> {};
+    private final ChannelFutureListener closeOnFailure = this::closeOnFailure;
 
     /** {@code side} is the peer's role, for the log. */
     Connection(String side) {
         this.side = side;
     }
 
+    /** Returns the sizes of a connection's reads, which adapt to the bytes that arrive. */
+    static AdaptiveRecvByteBufAllocator readSizes() {
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES);
+    }
+
     /** Handles a part of a message; its buffer is released afterwards. */
     abstract void onPart(HttpObject part);
 
@@ -53,23 +77,31 @@
         closeReason = closeReason == null ? reason : closeReason;
     }
 
-    // If this or one of the two writes below fails, the connection ends, and onClosed is called.
+    // If closing fails, the connection has already ended.
     @SuppressWarnings("FutureReturnValueIgnored")
     final void close(CloseReason reason) {
         setCloseReason(reason);
         context.close();
     }
 
-    /** Writes a message; a failure ends the connection anyway. */
-    @SuppressWarnings("FutureReturnValueIgnored")
-    final void writeAndFlush(HttpObject message) {
-        context.writeAndFlush(message);
+    /** Writes a message; a failure ends the connection. */
+    final ChannelFuture writeAndFlush(HttpObject message) {
+        return context.writeAndFlush(message).addListener(closeOnFailure);
     }
 
-    /** Writes a message that a later flush sends. */
-    @SuppressWarnings("FutureReturnValueIgnored")
-    final void write(HttpObject message) {
-        context.write(message);
+    /**
+     * Writes a message, or a part of one, that a later flush sends; a failure ends the connection.
+     */
+    final ChannelFuture write(HttpObject message) {
+        return context.write(message).addListener(closeOnFailure);
+    }
+
+    // A write can also fail for lack of memory, which Netty does not close the connection for.
+    // Anything written after it would be read as what is missing.
+    private void closeOnFailure(Future<? super Void> written) {
+        if (!written.isSuccess()) {
+            close(CloseReason.RESET);
+        }
     }
 
     /** Stops reading, so that TCP flow control holds back the sender. */
@@ -131,6 +163,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable error) {
+        if (error instanceof Error) {
+            LOG.error("side={} peer={}: {}", side, address, error.toString());
+        }
         close(error instanceof IOException ? CloseReason.RESET : CloseReason.MALFORMED);
     }
 
--- a/src/main/java/ottergauge/transport/Listener.java
+++ b/src/main/java/ottergauge/transport/Listener.java
@@ -2,7 +2,6 @@
 package ottergauge.transport;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -68,7 +67,7 @@
                         // client has disconnected before it handles the client's request.
                         .childOption(
                                 ChannelOption.RECVBUF_ALLOCATOR,
-                                new AdaptiveRecvByteBufAllocator()
+                                Connection.readSizes()
                                         .respectMaybeMoreData(false)
                                         .maxMessagesPerRead(MAX_READS_PER_ROUND))
                         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Connection.WATER_MARK)
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -69,7 +69,7 @@
         vertx = SingleLoopTransport.vertx(monitor);
         context = (ContextInternal) vertx.getOrCreateContext();
         client = vertx.createNetClient();
-        router = new Router(this.config, this::perform);
+        router = new Router(this.config, SingleLoopTransport.maxIoMemoryBytes(), this::perform);
         clients = new DownstreamConnections(monitor, events::take);
         admin = new AdminListener(context.nettyEventLoop(), monitor, events::take);
         OutboundConnection.Dialer dialer = OutboundConnection.dialer(client);
--- a/src/main/java/ottergauge/transport/OutboundConnection.java
+++ b/src/main/java/ottergauge/transport/OutboundConnection.java
@@ -142,6 +142,7 @@
         HttpFraming.ResponseDecoder decoder = new HttpFraming.ResponseDecoder();
         OutboundConnection connection = new OutboundConnection(side, decoder, maxBodyBytes);
         pipeline.channel().config().setWriteBufferWaterMark(WATER_MARK);
+        pipeline.channel().config().setRecvByteBufAllocator(readSizes());
         pipeline.channel().config().setOption(ChannelOption.TCP_NODELAY, true);
         pipeline.addFirst(decoder, new HttpRequestEncoder(), connection);
         return connection;
--- a/src/main/java/ottergauge/transport/SingleLoopTransport.java
+++ b/src/main/java/ottergauge/transport/SingleLoopTransport.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.PlatformDependent;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
@@ -53,6 +54,14 @@
                 .vertx();
     }
 
+    /**
+     * How much direct memory the process may allocate for I/O buffers, as set by {@code
+     * -XX:MaxDirectMemorySize}.
+     */
+    static long maxIoMemoryBytes() {
+        return PlatformDependent.estimateMaxDirectMemory();
+    }
+
     @Override
     public IoHandlerFactory ioHandlerFactory() {
         return NioIoHandler.newFactory(SelectorProvider.provider(), () -> monitor);
--- a/src/main/java/ottergauge/transport/StreamedBody.java
+++ b/src/main/java/ottergauge/transport/StreamedBody.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.transport;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -31,7 +32,15 @@
     StreamedBody(Connection source, byte[] buffered) {
         relay = new BodyRelay(source);
         bytes = buffered.length;
-        relay.add(new DefaultHttpContent(Unpooled.wrappedBuffer(buffered)));
+        addInParts(Unpooled.wrappedBuffer(buffered));
+    }
+
+    // In parts of the size of a read: the memory of a part is free only once all of it is written.
+    private void addInParts(ByteBuf buffered) {
+        while (buffered.isReadable()) {
+            int length = Math.min(buffered.readableBytes(), Connection.MAX_READ_BYTES);
+            relay.add(new DefaultHttpContent(buffered.readSlice(length)));
+        }
     }
 
     /**
--- a/src/test/java/ottergauge/program/BodyStreamingIT.java
+++ b/src/test/java/ottergauge/program/BodyStreamingIT.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.program;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -17,6 +18,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
@@ -39,6 +41,7 @@
 
     private static final String UNREACHABLE = "127.0.0.1:1";
     private static final int LARGE = 8 << 20;
+    private static final int SLOW_READ_BYTES = 256 << 10;
 
     /** Handles a request whose head has been read; its body, if any, has not. */
     private interface Behaviour {
@@ -339,6 +342,61 @@
         }
     }
 
+    /**
+     * Guards against a node that runs out of memory for I/O buffers. Its event loop would block for
+     * half a second at each read: small requests would time out, and responses would be truncated
+     * although their servers still send them.
+     */
+    @Test
+    void manySlowReadersDelayNoOtherRequest() throws Exception {
+        int slowReaders = 300;
+        int length = 4 << 20;
+        byte[] body = bytes(length);
+        RunningNode node =
+                nodeInFrontOf(
+                        (head, in, out) -> {
+                            body(head, in);
+                            boolean large = head.contains("do=large");
+                            out.write(
+                                    text(
+                                            "HTTP/1.1 200 OK\r\nContent-Length: "
+                                                    + (large ? length : 2)
+                                                    + "\r\n\r\n"));
+                            out.write(large ? body : text("ok"));
+                        });
+        List<Client> readers = new ArrayList<>();
+        for (int i = 0; i < slowReaders; i++) {
+            Client reader = slowReader(node);
+            readers.add(reader);
+            reader.write(Client.request("grant", "large", ""));
+            String head = head(reader.socket().getInputStream());
+            assertTrue(head.startsWith("HTTP/1.1 200"), i + ": " + head);
+        }
+        for (int i = 0; i < 20; i++) {
+            try (Client client = node.client()) {
+                assertEquals(200, client.exchange(Client.request("grant", "small", "")).status());
+            }
+        }
+        // All in turn, so that none stalls.
+        for (int from = 0; from < length; from += SLOW_READ_BYTES) {
+            byte[] expected = Arrays.copyOfRange(body, from, from + SLOW_READ_BYTES);
+            for (Client reader : readers) {
+                InputStream in = reader.socket().getInputStream();
+                assertArrayEquals(expected, in.readNBytes(SLOW_READ_BYTES), "from byte " + from);
+            }
+        }
+    }
+
+    // A small receive buffer, so that the node and not the operating system holds the response.
+    private Client slowReader(RunningNode node) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(4 << 10);
+        socket.connect(node.socketAddress());
+        Client client = new Client(socket);
+        open.add(0, client);
+        return client;
+    }
+
     /** The client can detect that its server has truncated a response. */
     @ParameterizedTest
     @ValueSource(strings = {"close", "reset"})
--- a/src/test/java/ottergauge/program/RunningNode.java
+++ b/src/test/java/ottergauge/program/RunningNode.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
@@ -200,6 +201,10 @@
         return new Client(new Socket(InetAddress.getLoopbackAddress(), port));
     }
 
+    InetSocketAddress socketAddress() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
     int exitCode() throws InterruptedException {
         if (!process.waitFor(TIMEOUT_S, TimeUnit.SECONDS)) {
             fail("still running; log:\n" + log());
--- a/src/test/java/ottergauge/routing/RouterDriver.java
+++ b/src/test/java/ottergauge/routing/RouterDriver.java
@@ -53,8 +53,17 @@
         this(config, true);
     }
 
+    /** A node that serves, whose process has this much memory for I/O buffers. */
+    RouterDriver(TestConfig config, long ioMemoryBytes) {
+        this(config, true, ioMemoryBytes);
+    }
+
     RouterDriver(TestConfig config, boolean serving) {
-        router = new Router(config.build(), this::collect);
+        this(config, serving, Long.MAX_VALUE);
+    }
+
+    private RouterDriver(TestConfig config, boolean serving, long ioMemoryBytes) {
+        router = new Router(config.build(), ioMemoryBytes, this::collect);
         router.start(now);
         if (serving) {
             router.handle(now, new Event.ServingStarted());
--- a/src/test/java/ottergauge/routing/StreamingTest.java
+++ b/src/test/java/ottergauge/routing/StreamingTest.java
@@ -31,6 +31,10 @@
     private int lastId;
 
     private long startStreamedRequest(String requestClass, long expiresInMs) {
+        return startStreamedRequest(node, requestClass, expiresInMs);
+    }
+
+    private long startStreamedRequest(RouterDriver node, String requestClass, long expiresInMs) {
         long client = node.client();
         node.handle(new Event.RequestHeadReceived(client));
         node.handle(
@@ -209,4 +213,30 @@
         }
         assertTrue(started > 100 && started <= 192 * 2, "started: " + started);
     }
+
+    /**
+     * Guards against a node that admits more streams by its memory limit than its process has
+     * memory for I/O buffers: an allocation that finds none blocks the event loop.
+     */
+    @Test
+    void streamedBodies_areBoundedByTheProcessesIoMemory() {
+        int bytesPerStream = 64 * 1024;
+        int ioMemoryBytes = 4 * 1024 * 1024;
+        RouterDriver node =
+                new RouterDriver(
+                        new TestConfig()
+                                .withEndpoints(endpointJson("s-1", "10.1.0.1:3000", "in_service")),
+                        ioMemoryBytes);
+        int admitted = 0;
+        startStreamedRequest(node, "grant", 900);
+        while (!node.has(Respond.class)) {
+            admitted++;
+            node.handle(
+                    new Event.UpstreamConnected(node.expect(ConnectUpstream.class).connection()));
+            startStreamedRequest(node, "grant", 900);
+        }
+        assertTrue(
+                admitted > 10 && admitted * bytesPerStream < ioMemoryBytes * 3 / 4,
+                "admitted: " + admitted);
+    }
 }
