A long request to a server that stops reading it is rejected in time

Cause: while a server accepts no more of a body, the node does not read its client. No deadline ended the request before, since the timeout of an attempt was ignored while its body was streamed, also after the node had read all of it.

Change: the transport reports when a body is blocked and when it flows again (RequestBodyFlowChanged). A blocked body ends its attempt once the client has waited for as long as it said: it may have written the last byte when the node stopped reading. A body that is read to its end has the request's deadline, written or not. The server lacks the last byte, so that the engine rejects the request as retryable. A streamed request counts in the budget until it is written, not until it is read.

Not covered: a server that reads slowly without a stop, so that a body written whole takes longer than its client waits.

--- a/src/main/java/ottergauge/routing/Attempt.java
+++ b/src/main/java/ottergauge/routing/Attempt.java
@@ -6,6 +6,8 @@
  * server. Times are in microseconds.
  */
 final class Attempt {
+    static final long NO_TIMEOUT = Long.MAX_VALUE;
+
     final long number;
 
     /** The request that it is an attempt of; null for a probe. */
@@ -19,8 +21,15 @@
     /** When it was started; for a streamed request, when its last byte was written. */
     long startedAt;
 
+    /** How long it may take, from {@link #startedAt}. */
+    final long timeout;
+
+    /** When it times out; {@link #NO_TIMEOUT} while a client sends the body of its request. */
     long dueAt;
 
+    /** When the next timer for its timeout fires; {@link #NO_TIMEOUT} if there is none. */
+    long timerAt = NO_TIMEOUT;
+
     /** The connection that carries it; null until it has one. */
     PooledConnection connection;
 
@@ -36,13 +45,14 @@
             int index,
             long server,
             long startedAt,
-            long dueAt) {
+            long timeout) {
         this.number = number;
         this.request = request;
         this.index = index;
         this.server = server;
         this.startedAt = startedAt;
-        this.dueAt = dueAt;
+        this.timeout = timeout;
+        dueAt = startedAt + timeout;
     }
 
     boolean isProbe() {
--- a/src/main/java/ottergauge/routing/Attempts.java
+++ b/src/main/java/ottergauge/routing/Attempts.java
@@ -77,8 +77,7 @@
                             LoadReport.NONE));
             return;
         }
-        Attempt attempt =
-                new Attempt(++lastNumber, request, index, action.server(), now, now + limit);
+        Attempt attempt = new Attempt(++lastNumber, request, index, action.server(), now, limit);
         request.outstanding.add(attempt);
         start(now, attempt);
     }
@@ -91,8 +90,8 @@
             return;
         }
         // The settings define no timeout for probes; the connect timeout is long enough.
-        long dueAt = now + settings.current().connectTimeout();
-        start(now, new Attempt(++lastNumber, null, 0, action.server(), now, dueAt));
+        long timeout = settings.current().connectTimeout();
+        start(now, new Attempt(++lastNumber, null, 0, action.server(), now, timeout));
     }
 
     /** Whether the server is listed and has an idle connection, or another one may be opened. */
@@ -107,9 +106,14 @@
         upstreams.start(now, attempt);
     }
 
+    // Timers are not cancelled. One that fires before the timeout, which was postponed meanwhile,
+    // is started again.
     private void startTimeout(long now, Attempt attempt) {
-        effects.accept(
-                new StartTimer(attempt.dueAt - now, new Timer.AttemptTimeout(attempt.number)));
+        if (attempt.dueAt < attempt.timerAt) {
+            attempt.timerAt = attempt.dueAt;
+            effects.accept(
+                    new StartTimer(attempt.dueAt - now, new Timer.AttemptTimeout(attempt.number)));
+        }
     }
 
     /** The attempt or probe of this number, unless it has ended. */
@@ -135,7 +139,30 @@
         upstreams.send(now, attempt);
         if (attempt.isStreamingRequest()) {
             decisionEvents.accept(new RequestBodyStreaming(attempt.request.id, attempt.index));
+            resetStreamingTimeout(now, attempt);
+        }
+    }
+
+    /** The body of a streamed request is blocked or flows again, or its last byte has arrived. */
+    void bodyFlowChanged(long now, InFlightRequest request) {
+        for (Attempt attempt : request.outstanding) {
+            if (attempt.isStreamingRequest()) {
+                resetStreamingTimeout(now, attempt);
+            }
+        }
+    }
+
+    // No timeout runs while the client sends the body. If its server does not accept it, the client
+    // may have written the last byte when the node stopped reading, and waits from then on.
+    private void resetStreamingTimeout(long now, Attempt attempt) {
+        InFlightRequest request = attempt.request;
+        if (request.complete) {
+            attempt.dueAt = Math.max(now + 1, request.deadline);
+        } else {
+            attempt.dueAt =
+                    request.bodyBlocked ? now + Math.max(1, request.timeout) : Attempt.NO_TIMEOUT;
         }
+        startTimeout(now, attempt);
     }
 
     /** Ends an attempt that is not sent yet. */
@@ -178,8 +205,13 @@
     /** The timeout of an attempt or probe has expired; ignored if it has ended. */
     void timedOut(long now, long number) {
         Attempt attempt = byNumber.get(number);
-        // The timeout of a streamed request restarts when its last byte is written.
-        if (attempt != null && now >= attempt.dueAt && !attempt.isStreamingRequest()) {
+        if (attempt == null) {
+            return;
+        }
+        attempt.timerAt = Attempt.NO_TIMEOUT;
+        if (now < attempt.dueAt) {
+            startTimeout(now, attempt);
+        } else {
             upstreams.abandon(now, attempt, CloseReason.TIMED_OUT);
             end(
                     now,
@@ -195,9 +227,9 @@
         }
         metrics.attemptSent();
         if (attempt.request.streamed) {
-            long limit = attempt.dueAt - attempt.startedAt;
             attempt.startedAt = now;
-            attempt.dueAt = Math.max(now + 1, Math.min(now + limit, attempt.request.deadline));
+            attempt.dueAt =
+                    Math.max(now + 1, Math.min(now + attempt.timeout, attempt.request.deadline));
             startTimeout(now, attempt);
             decisionEvents.accept(new RequestBodySent(attempt.request.id, attempt.index));
         }
--- a/src/main/java/ottergauge/routing/DownstreamConnections.java
+++ b/src/main/java/ottergauge/routing/DownstreamConnections.java
@@ -52,7 +52,8 @@
         long since;
 
         /**
-         * When it is closed unless it makes progress. Ignored while the client awaits a response.
+         * When it is closed unless it makes progress. Ignored while the client awaits a response,
+         * and while the node doesn't read the body of its request.
          */
         long closeAt;
 
@@ -61,8 +62,20 @@
 
         long bodyBytes;
 
+        /** When the node stopped reading the body of the request that it carries. */
+        long blockedSince;
+
         /** The request that it carries, or null. */
         InFlightRequest request;
+
+        boolean isBodyBlocked() {
+            return stage == Stage.READING_REQUEST && request != null && request.bodyBlocked;
+        }
+
+        /** Whether the client's own progress decides when it is closed. */
+        boolean awaitsClient() {
+            return stage != Stage.AWAITING_RESPONSE && !isBodyBlocked();
+        }
     }
 
     private final Consumer<Effect> effects;
@@ -160,6 +173,29 @@
         }
     }
 
+    /**
+     * The node stops reading the body of a streamed request, or reads on; returns the request if
+     * that is a change. The time in between does not count as the client's.
+     */
+    Optional<InFlightRequest> bodyFlowChanged(long now, long client, boolean blocked) {
+        Connection connection = connections.get(client);
+        if (connection == null
+                || connection.request == null
+                || connection.stage != Stage.READING_REQUEST
+                || connection.request.bodyBlocked == blocked) {
+            return Optional.empty();
+        }
+        connection.request.bodyBlocked = blocked;
+        if (blocked) {
+            connection.blockedSince = now;
+        } else {
+            long blockedFor = now - connection.blockedSince;
+            connection.since += blockedFor;
+            connection.closeAt += blockedFor;
+        }
+        return Optional.of(connection.request);
+    }
+
     /** The last byte of a streamed request has arrived; returns the request. */
     Optional<InFlightRequest> requestCompleted(long client) {
         Connection connection = connections.get(client);
@@ -288,7 +324,7 @@
     void sweep(long now) {
         for (Map.Entry<Long, Connection> entry : new ArrayList<>(connections.entrySet())) {
             Connection connection = entry.getValue();
-            if (connection.stage == Stage.AWAITING_RESPONSE || now < connection.closeAt) {
+            if (!connection.awaitsClient() || now < connection.closeAt) {
                 continue;
             }
             if (connection.request == null) {
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -55,6 +55,12 @@
      */
     record StreamedRequestStarted(long client, ClientRequest request) implements Event {}
 
+    /**
+     * The node stops reading a streamed request, since no server is chosen or the server accepts no
+     * more of it for now, or it reads on.
+     */
+    record RequestBodyFlowChanged(long client, boolean blocked) implements Event {}
+
     /** The last byte of a streamed request has arrived. */
     record StreamedRequestCompleted(long client) implements Event {}
 
--- a/src/main/java/ottergauge/routing/InFlightRequest.java
+++ b/src/main/java/ottergauge/routing/InFlightRequest.java
@@ -35,6 +35,12 @@
     /** Whether its last byte has arrived. */
     boolean complete;
 
+    /**
+     * Whether the node doesn't read its body for now, because no server is chosen or the server
+     * doesn't accept more. The client may meanwhile have written all of it.
+     */
+    boolean bodyBlocked;
+
     /** The attempt whose response is being relayed to the client, or null. */
     Attempt relaying;
 
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -176,6 +176,12 @@
         clients.reject(now, event.client(), event.status(), event.reason());
     }
 
+    /** The server of a streamed request accepts no more of it for now, or accepts it again. */
+    void bodyFlowChanged(long now, long client, boolean blocked) {
+        clients.bodyFlowChanged(now, client, blocked)
+                .ifPresent(request -> attempts.bodyFlowChanged(now, request));
+    }
+
     /** The last byte of a streamed request has arrived. */
     void streamCompleted(long now, long client) {
         clients.requestCompleted(client)
@@ -183,11 +189,19 @@
                         request -> {
                             request.deadline =
                                     Math.min(shutdown.lastResponseAt(), now + request.timeout);
-                            streams.remove(request);
                             countAccepted(request);
+                            attempts.bodyFlowChanged(now, request);
                         });
     }
 
+    /** The last byte of an attempt or a probe is written. */
+    void requestWritten(long now, Attempt attempt) {
+        if (!attempt.isProbe() && attempt.request.relaying == null) {
+            streams.remove(attempt.request);
+        }
+        attempts.sendCompleted(now, attempt);
+    }
+
     // A streamed request is counted as accepted when it is complete or answered, whichever is
     // first.
     private void countAccepted(InFlightRequest request) {
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -162,6 +162,8 @@
             clients.bodyProgress(now, e.client(), e.bytes());
         } else if (event instanceof Event.StreamedRequestStarted e) {
             requests.received(now, e.client(), e.request(), 0, true);
+        } else if (event instanceof Event.RequestBodyFlowChanged e) {
+            requests.bodyFlowChanged(now, e.client(), e.blocked());
         } else if (event instanceof Event.StreamedRequestCompleted e) {
             requests.streamCompleted(now, e.client());
         } else if (event instanceof Event.ResponseWritten e) {
@@ -188,7 +190,7 @@
         } else if (event instanceof Event.RequestWritten e) {
             upstreams
                     .sendCompleted(e.connection())
-                    .ifPresent(attempt -> attempts.sendCompleted(now, attempt));
+                    .ifPresent(attempt -> requests.requestWritten(now, attempt));
         } else if (event instanceof Event.StreamedResponseStarted e) {
             streamedResponses.started(now, e.connection(), e.response(), e.sinceHeadMicros());
         } else if (event instanceof Event.UnsizedResponseStarted e) {
--- a/src/main/java/ottergauge/routing/StreamedResponses.java
+++ b/src/main/java/ottergauge/routing/StreamedResponses.java
@@ -86,7 +86,7 @@
      * time, it is streamed from then on, so that its first bytes reach the client in time.
      */
     void unsizedStarted(long now, Attempt attempt) {
-        if (!attempt.isProbe()) {
+        if (!attempt.isProbe() && !attempt.isStreamingRequest()) {
             effects.accept(
                     new StartTimer(
                             Math.max(1, (attempt.dueAt - now) / 2),
--- a/src/main/java/ottergauge/transport/BodyRelay.java
+++ b/src/main/java/ottergauge/transport/BodyRelay.java
@@ -19,15 +19,26 @@
  */
 final class BodyRelay {
 
+    /** Handles changes of whether the source is read; it is not at first. */
+    @FunctionalInterface
+    interface FlowHandler {
+        /** {@code blocked} is whether the destination accepts no more for now. */
+        void flowChanged(boolean blocked);
+    }
+
     private final Connection source;
+    private final FlowHandler flowHandler;
     private final Deque<HttpContent> queued = new ArrayDeque<>();
     private Connection destination;
     private Consumer<ChannelFuture> lastPartWritten;
+    private boolean blocked = true;
+    private boolean lastPartAdded;
     private boolean dropped;
 
     /** Stops reading the source until there is a destination. */
-    BodyRelay(Connection source) {
+    BodyRelay(Connection source, FlowHandler flowHandler) {
         this.source = source;
+        this.flowHandler = flowHandler;
         source.pauseReading();
     }
 
@@ -71,12 +82,21 @@
     private void resume() {
         if (!dropped && destination.isWritable()) {
             source.resumeReading();
+            setBlocked(false);
+        }
+    }
+
+    private void setBlocked(boolean next) {
+        if (blocked != next) {
+            blocked = next;
+            flowHandler.flowChanged(next);
         }
     }
 
     private void write(HttpContent part) {
         ChannelFuture written = destination.write(part);
         if (part instanceof LastHttpContent) {
+            lastPartAdded = true;
             // The source can carry further messages now, even while the destination still writes
             // this body.
             destination.onWritable(() -> {});
@@ -89,8 +109,12 @@
 
     /** Flushes what was written since the last flush. */
     void flush() {
-        if (destination != null) {
-            destination.context().flush();
+        if (destination == null) {
+            return;
+        }
+        destination.context().flush();
+        if (!dropped && !lastPartAdded && !destination.isWritable()) {
+            setBlocked(true);
         }
     }
 
--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -25,6 +25,7 @@
 import ottergauge.routing.Event.ClientRequest;
 import ottergauge.routing.Event.HealthRequested;
 import ottergauge.routing.Event.InvalidRequest;
+import ottergauge.routing.Event.RequestBodyFlowChanged;
 import ottergauge.routing.Event.RequestHeadReceived;
 import ottergauge.routing.Event.RequestHeadStarted;
 import ottergauge.routing.Event.RequestReceived;
@@ -175,10 +176,13 @@
     private void beginStream(HttpContent content) {
         stage = Stage.STREAMING_BODY;
         streamReceived = false;
-        stream = new StreamedBody(this, body.bytes());
+        stream = new StreamedBody(this, body.bytes(), this::reportFlow);
         body = null;
         events.accept(new StreamedRequestStarted(number, request(Content.NONE.bytes())));
         if (stage == Stage.STREAMING_BODY) {
+            if (!stream.hasDestination()) {
+                reportFlow(true);
+            }
             stream(content);
         }
     }
@@ -212,6 +216,10 @@
         }
     }
 
+    private void reportFlow(boolean blocked) {
+        events.accept(new RequestBodyFlowChanged(number, blocked));
+    }
+
     /** Relays the body of the streamed request, if there still is one, to a server's connection. */
     void relayRequestTo(OutboundConnection server, ClientRequest request, long timeoutMs) {
         if (stream == null) {
--- a/src/main/java/ottergauge/transport/OutboundConnection.java
+++ b/src/main/java/ottergauge/transport/OutboundConnection.java
@@ -263,7 +263,7 @@
     // Nothing more is read until the response is relayed to its client.
     private void beginStream() {
         stage = Stage.STREAMING_BODY;
-        stream = new StreamedBody(this, body.bytes());
+        stream = new StreamedBody(this, body.bytes(), blocked -> {});
         body = new BodyBuffer(0);
         streamedResponse = response(body.bytes(), false);
         responseHandler = null;
--- a/src/main/java/ottergauge/transport/StreamedBody.java
+++ b/src/main/java/ottergauge/transport/StreamedBody.java
@@ -29,8 +29,8 @@
     private long bytes;
 
     /** Starts with the bytes buffered so far; reads no more until the body is relayed. */
-    StreamedBody(Connection source, byte[] buffered) {
-        relay = new BodyRelay(source);
+    StreamedBody(Connection source, byte[] buffered, BodyRelay.FlowHandler flowHandler) {
+        relay = new BodyRelay(source, flowHandler);
         bytes = buffered.length;
         addInParts(Unpooled.wrappedBuffer(buffered));
     }
--- a/src/test/java/ottergauge/program/BodyStreamingIT.java
+++ b/src/test/java/ottergauge/program/BodyStreamingIT.java
@@ -23,6 +23,7 @@
 import java.util.Locale;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.zip.CRC32;
@@ -529,6 +530,35 @@
         }
     }
 
+    /**
+     * The deadline of 0.9 s counts from the last byte that the client has written, even if the node
+     * can't read that far because the server does not read. The response may be 0.5 s late.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1 << 20, 4_000_000, 6 << 20})
+    void longBodyToAServerThatHangsIsRejectedInTime(int length) throws Exception {
+        CountDownLatch testOver = new CountDownLatch(1);
+        open.add(testOver::countDown);
+        RunningNode node =
+                nodeInFrontOf(
+                        (head, in, out) -> {
+                            in.readNBytes(64 << 10);
+                            testOver.await();
+                        });
+        try (Client client = node.client()) {
+            write(
+                    client.socket(),
+                    requestWithFields("ok", "Content-Length: " + length + "\r\n"),
+                    bytes(length));
+            long writtenAt = System.nanoTime();
+            int status = client.read().status();
+            long waited = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - writtenAt);
+            assertTrue(waited < 900 + 500, "answered after " + waited + " ms");
+            // A request that the server has read whole may have run.
+            assertTrue(status == 503 || status == 502, "status: " + status);
+        }
+    }
+
     @Test
     void bodyOverTheSizeLimitIsRejectedBeforeItIsRead() throws Exception {
         RunningNode node = nodeInFrontOf(ECHO);
--- a/src/test/java/ottergauge/routing/StreamingTest.java
+++ b/src/test/java/ottergauge/routing/StreamingTest.java
@@ -131,6 +131,96 @@
         assertEquals(forward.connection(), node.expect(CloseUpstream.class).connection());
     }
 
+    /** The node stops reading a request's body, or reads on. */
+    private void setBlocked(long client, boolean blocked) {
+        node.handle(new Event.RequestBodyFlowChanged(client, blocked));
+    }
+
+    /**
+     * Guards against a client that gets no response: it may have written the last byte when its
+     * server stops accepting the body. The server can't have run the request, so that it is
+     * rejected once the client has waited for as long as it said.
+     */
+    @Test
+    void bodyThatItsServerDoesNotAccept_isRejectedInTime() {
+        long client = startStreamedRequest("grant", 900);
+        setBlocked(client, true);
+        ForwardStream forward = establishConnection();
+        setBlocked(client, false);
+        node.handle(new Event.BodyProgress(client, 64_000));
+        node.advanceMs(500);
+        setBlocked(client, true);
+        node.advanceMs(800);
+        node.expectNo(Respond.class);
+        node.advanceMs(200);
+        assertEquals(503, node.status(client));
+        assertEquals(
+                new CloseUpstream(forward.connection(), CloseReason.TIMED_OUT),
+                node.expect(CloseUpstream.class));
+        node.expectNo(CloseClient.class);
+    }
+
+    /** The same if the server accepts nothing from the start. */
+    @Test
+    void bodyThatItsServerNeverAccepts_isRejectedInTime() {
+        long client = startStreamedRequest("grant", 900);
+        setBlocked(client, true);
+        establishConnection();
+        node.advanceMs(1_000);
+        assertEquals(503, node.status(client));
+    }
+
+    /**
+     * The same if the node has read the body to its end, but its server does not accept the end.
+     */
+    @Test
+    void lastPartThatItsServerDoesNotAccept_isRejectedInTime() {
+        long client = startStreamedRequest("grant", 900);
+        ForwardStream forward = establishConnection();
+        node.advanceMs(300);
+        node.handle(new Event.StreamedRequestCompleted(client));
+        node.advanceMs(800);
+        node.expectNo(Respond.class);
+        node.advanceMs(200);
+        assertEquals(503, node.status(client));
+        assertEquals(forward.connection(), node.expect(CloseUpstream.class).connection());
+    }
+
+    /** A server that pauses for less than the client waits gets the body to its end. */
+    @Test
+    void bodyThatIsBlockedTimeAndAgain_isForwarded() {
+        long client = startStreamedRequest("grant", 900);
+        establishConnection();
+        for (int i = 0; i < 20; i++) {
+            setBlocked(client, true);
+            node.advanceMs(700);
+            setBlocked(client, false);
+            node.handle(new Event.BodyProgress(client, 32_000));
+            node.advanceMs(100);
+        }
+        node.expectNo(Respond.class);
+        node.expectNo(CloseClient.class);
+        node.expectNo(CloseUpstream.class);
+    }
+
+    /** Guards against taking a client for stalled while its request waits for a server. */
+    @Test
+    void bodyThatWaitsForAServer_isNotClosed() {
+        RouterDriver node =
+                new RouterDriver(
+                        new TestConfig()
+                                .classes(
+                                        TestConfig.requestClass("slow", "single_shot", 5_000)
+                                                .replace("\"aimMs\":800.0", "\"aimMs\":5000.0")));
+        long client = startStreamedRequest(node, "slow", 5_000);
+        node.handle(new Event.RequestBodyFlowChanged(client, true));
+        node.advanceMs(4_500);
+        node.expectNo(CloseClient.class);
+        node.expectNo(Respond.class);
+        node.advanceMs(1_000);
+        assertEquals(503, node.status(client));
+    }
+
     /**
      * Guards against truncated responses: once the node relays a response to the client, no
      * deadline ends it. The node reuses the connection to the server afterwards.
--- a/src/test/java/ottergauge/transport/WriteFailureTest.java
+++ b/src/test/java/ottergauge/transport/WriteFailureTest.java
@@ -86,7 +86,7 @@
         destination.pipeline().remove(HttpRequestEncoder.class);
         destination.pipeline().addFirst(new OutOfMemory(2));
 
-        BodyRelay relay = new BodyRelay(reader);
+        BodyRelay relay = new BodyRelay(reader, blocked -> {});
         relay.relayTo(connection, written -> {});
         for (int i = 0; i < 3; i++) {
             DefaultHttpContent part = new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[8]));
