A long answer that its client reads slowly is no longer cut off

Cause (found by the review, without a case): a streamed response ends when nothing is written for 10 s. The operating system takes more of it only after about a third of its send buffer has been sent; this buffer grows to megabytes on loopback, so that a client which read 64 KiB a second made no progress for longer than that.

Change: the send buffer of a client's connection is set to 256 KiB when a response begins to be streamed.

--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -2,6 +2,7 @@
 package ottergauge.transport;
 
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -62,6 +63,13 @@
      */
     private static final long LINGER_MS = 1_000;
 
+    /**
+     * The operating system's buffer for a streamed response. It takes more only after a third of
+     * the buffer has been sent. A buffer that grew to megabytes would hide for longer than the
+     * stall timeout that a client reads slowly.
+     */
+    private static final int STREAM_SEND_BUFFER_BYTES = 256 * 1024;
+
     private final long number;
     private final HttpFraming.RequestDecoder decoder;
     private final EventLoopMonitor monitor;
@@ -362,6 +370,7 @@
     /** Begins to relay a server's streamed response. */
     void relayResponseOf(OutboundConnection server, boolean closeAfter) {
         boolean closes = closeAfter || clientCloses;
+        context().channel().config().setOption(ChannelOption.SO_SNDBUF, STREAM_SEND_BUFFER_BYTES);
         write(ClientResponses.head(server.streamedResponse(), closes));
         unreportedBytes = 0;
         server.relayResponseTo(
--- a/src/test/java/ottergauge/program/BodyStreamingIT.java
+++ b/src/test/java/ottergauge/program/BodyStreamingIT.java
@@ -388,6 +388,43 @@
         }
     }
 
+    /**
+     * Guards against a node that takes a client for stalled which reads steadily at 64 KiB a
+     * second: the operating system takes more of a response only after a large part of its buffers
+     * has been read.
+     */
+    @Test
+    void longResponseThatIsReadSlowlyIsNotTruncated() throws Exception {
+        int length = 6 << 20;
+        int bytesPerStep = 16 << 10;
+        int stepsPerSecond = 4;
+        int slowSteps = 14 * stepsPerSecond;
+        byte[] body = bytes(length);
+        RunningNode node =
+                nodeInFrontOf(
+                        (head, in, out) -> {
+                            body(head, in);
+                            out.write(
+                                    text(
+                                            "HTTP/1.1 200 OK\r\nContent-Length: "
+                                                    + length
+                                                    + "\r\n\r\n"));
+                            out.write(body);
+                        });
+        try (Client client = node.client()) {
+            client.write(Client.request("grant", "ok", ""));
+            InputStream in = client.socket().getInputStream();
+            assertTrue(head(in).startsWith("HTTP/1.1 200"));
+            ByteArrayOutputStream received = new ByteArrayOutputStream();
+            for (int i = 0; i < slowSteps; i++) {
+                received.write(in.readNBytes(bytesPerStep));
+                Thread.sleep(1_000 / stepsPerSecond);
+            }
+            received.write(in.readNBytes(length - received.size()));
+            assertEquals(checksum(body), checksum(received.toByteArray()));
+        }
+    }
+
     // A small receive buffer, so that the node and not the operating system holds the response.
     private Client slowReader(RunningNode node) throws IOException {
         Socket socket = new Socket();
