A response that comes before its request is written is not taken for the answer

Cause: RequestHandler.responseReceived served any complete 200, also while the body of its request was still on its way to the server. A second copy of the server's previous answer went to another client's request, which then never ran.

Change: Attempts.resultOfResponse asks whether the last byte of the attempt is written, for complete and streamed responses alike; if not, the attempt ends as a connection that breaks before its last byte, and the engine rejects a streamed request as retryable (a streamed response had made it fail with 502).

StreamingTest.responseBeforeTheLastByteIsWritten_isNotRelayed fails without the change.

--- a/src/main/java/ottergauge/routing/Attempts.java
+++ b/src/main/java/ottergauge/routing/Attempts.java
@@ -16,7 +16,9 @@
 import ottergauge.decision.api.DecisionEvent.RequestBodyStreaming;
 import ottergauge.decision.api.DecisionView;
 import ottergauge.decision.api.LoadReport;
+import ottergauge.protocol.AttemptResults;
 import ottergauge.routing.Effect.StartTimer;
+import ottergauge.routing.Event.ServerResponse;
 
 /**
  * Attempts and load probes, from the decision module's action to their result. Each one is started,
@@ -247,6 +249,17 @@
                         : AttemptResult.NOT_SENT);
     }
 
+    /**
+     * The result of an attempt or a probe that got a response. One that arrives before the last
+     * byte of the request is written is not an answer to it but, for instance, a second copy of the
+     * previous response.
+     */
+    AttemptResult resultOfResponse(Attempt attempt, ServerResponse response) {
+        return attempt.sendCompleted
+                ? AttemptResults.ofResponse(response.status(), response.neverRan())
+                : resultOfBrokenConnection(attempt, true);
+    }
+
     // A malformed response, or a reused connection that breaks, doesn't prove that the server
     // crashed. Only a reset of a new connection is reported to the decision module as a reset,
     // which may put the server into slow start.
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -11,7 +11,6 @@
 import ottergauge.decision.api.Idempotency;
 import ottergauge.decision.api.RequestClass;
 import ottergauge.decision.api.RequestLimits;
-import ottergauge.protocol.AttemptResults;
 import ottergauge.protocol.Content;
 import ottergauge.protocol.RequestFields;
 import ottergauge.routing.Event.ClientRequest;
@@ -236,7 +235,7 @@
 
     /** A server has answered an attempt or a probe completely. */
     void responseReceived(long now, Attempt attempt, ServerResponse response) {
-        AttemptResult result = AttemptResults.ofResponse(response.status(), response.neverRan());
+        AttemptResult result = attempts.resultOfResponse(attempt, response);
         if (!attempt.isProbe() && result == AttemptResult.SERVED) {
             respond(now, attempt.request.id, OK, 0, response.content());
         }
--- a/src/main/java/ottergauge/routing/StreamedResponses.java
+++ b/src/main/java/ottergauge/routing/StreamedResponses.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import ottergauge.decision.api.AttemptResult;
-import ottergauge.protocol.AttemptResults;
 import ottergauge.routing.Effect.StartTimer;
 import ottergauge.routing.Effect.StreamResponse;
 import ottergauge.routing.Event.ServerResponse;
@@ -57,7 +56,11 @@
             ServerResponse response,
             long sinceHeadMicros) {
         InFlightRequest request = attempt.request;
-        AttemptResult result = result(request, response);
+        // A valid response to a probe is never this large.
+        AttemptResult result =
+                attempt.isProbe()
+                        ? AttemptResult.ERROR
+                        : attempts.resultOfResponse(attempt, response);
         if (result == AttemptResult.SERVED
                 && !request.finished
                 && streams.admitsResponse()
@@ -73,14 +76,6 @@
         attempts.end(now, attempt, result, response.report());
     }
 
-    // A valid response to a probe is never this large. A response that starts before its request is
-    // complete is not an answer to that request.
-    private static AttemptResult result(InFlightRequest request, ServerResponse response) {
-        return request == null || !request.complete
-                ? AttemptResult.ERROR
-                : AttemptResults.ofResponse(response.status(), response.neverRan());
-    }
-
     /**
      * A response of unknown length has started. If it does not end within half of the remaining
      * time, it is streamed from then on, so that its first bytes reach the client in time.
--- a/src/test/java/ottergauge/routing/StreamingTest.java
+++ b/src/test/java/ottergauge/routing/StreamingTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import ottergauge.decision.api.LoadReport;
 import ottergauge.protocol.Content;
 import ottergauge.protocol.TestConfig;
@@ -131,6 +132,28 @@
         assertEquals(forward.connection(), node.expect(CloseUpstream.class).connection());
     }
 
+    /**
+     * Guards against a response that answers another request: a second copy of the server's last
+     * response may arrive while a body is on its way. The server lacks the last byte and can't have
+     * run the request.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void responseBeforeTheLastByteIsWritten_isNotRelayed(boolean streamed) {
+        long client = startStreamedRequest("grant", 900);
+        ForwardStream forward = establishConnection();
+        node.handle(
+                streamed
+                        ? streamedResponseStarted(forward.connection())
+                        : new Event.ResponseReceived(
+                                forward.connection(),
+                                new ServerResponse(
+                                        200, false, LoadReport.NONE, Content.NONE, true)));
+        assertEquals(503, node.status(client));
+        assertEquals(forward.connection(), node.expect(CloseUpstream.class).connection());
+        node.expectNo(RelayResponse.class);
+    }
+
     /** The node stops reading a request's body, or reads on. */
     private void setBlocked(long client, boolean blocked) {
         node.handle(new Event.RequestBodyFlowChanged(client, blocked));
