A maintenance whose mark cannot be written lasts in its process

Cause (found by the review, without a case): the log says that the server is in maintenance at this process only, but 0.1 s later the process did not find the mark and took the maintenance for ended by another process.

Change: MaintenanceStore.read adds the marks that this process could not write, until they are removed or written.

Result: HotRestartFilesTest.maintenanceWhoseMarkCannotBeWritten_lastsInThisProcess.

--- a/src/main/java/ottergauge/transport/MaintenanceStore.java
+++ b/src/main/java/ottergauge/transport/MaintenanceStore.java
@@ -39,6 +39,12 @@
     /** The marks by file name, as last read; empty for a file that cannot be read. */
     private final Map<String, Optional<Mark>> marks = new HashMap<>();
 
+    /**
+     * The start of the maintenance, by server, where its mark could not be written. This process
+     * must not take the missing mark for another process' end of the maintenance.
+     */
+    private final Map<String, Long> unstored = new HashMap<>();
+
     MaintenanceStore(Path directory) {
         this.directory = directory;
     }
@@ -53,13 +59,16 @@
                     directory.resolve(fileName(server)),
                     StandardCopyOption.ATOMIC_MOVE,
                     StandardCopyOption.REPLACE_EXISTING);
+            unstored.remove(server);
         } catch (IOException e) {
+            unstored.put(server, since);
             LOG.error("{} is in maintenance at this process only: {}", server, e.toString());
         }
     }
 
     /** Removes a server's mark. */
     void unmark(String server) {
+        unstored.remove(server);
         try {
             Files.deleteIfExists(directory.resolve(fileName(server)));
         } catch (IOException e) {
@@ -73,7 +82,7 @@
     }
 
     /**
-     * Reads all marks.
+     * Reads all marks, and adds those that this process could not write.
      *
      * @return for each server in maintenance, the time at which it was marked, in microseconds
      */
@@ -93,7 +102,7 @@
         }
         marks.clear();
         marks.putAll(current);
-        Map<String, Long> since = new TreeMap<>();
+        Map<String, Long> since = new TreeMap<>(unstored);
         for (Optional<Mark> mark : marks.values()) {
             mark.ifPresent(each -> since.put(each.server(), each.since()));
         }
--- a/src/test/java/ottergauge/transport/HotRestartFilesTest.java
+++ b/src/test/java/ottergauge/transport/HotRestartFilesTest.java
@@ -80,6 +80,20 @@
         assertEquals(Map.of("s-1", S1_SINCE), new MaintenanceStore(folder).read());
     }
 
+    /**
+     * Guards against a maintenance that ends by itself: without its mark it looks as if another
+     * process had ended it.
+     */
+    @Test
+    void maintenanceWhoseMarkCannotBeWritten_lastsInThisProcess() throws IOException {
+        Files.createDirectory(folder.resolve("part-" + ProcessHandle.current().pid()));
+        MaintenanceStore store = new MaintenanceStore(folder);
+        store.mark("s-3", S1_SINCE);
+        assertEquals(Map.of("s-1", S1_SINCE, "s-2", S2_SINCE, "s-3", S1_SINCE), store.read());
+        store.unmark("s-3");
+        assertEquals(Map.of("s-1", S1_SINCE, "s-2", S2_SINCE), store.read());
+    }
+
     @Test
     void storedEndpointList_replacesAnOlderOneOfTheConfiguration() {
         NodeConfig config =
