A retry of a keyed request begins only in its deduplication window

Cause (found by the review, by reading): the window was checked when the retry was chosen. A retry that then waits for a connection, for up to the connect timeout, could begin after it: DecisionEngine.mayBegin asked for slow start alone.

Change: mayBegin asks RepeatRules too. The choice of a server is as before.

Result: DecisionEngineTest.aRetryOfAKeyedRequestMayBeginOnlyInItsDeduplicationWindow.

--- a/src/main/java/ottergauge/decision/DecisionEngine.java
+++ b/src/main/java/ottergauge/decision/DecisionEngine.java
@@ -48,6 +48,7 @@
 import ottergauge.decision.request.ArrivalInterval;
 import ottergauge.decision.request.ClientRetryDetector;
 import ottergauge.decision.request.PendingQueue;
+import ottergauge.decision.request.RepeatRules;
 import ottergauge.decision.request.RequestTable;
 import ottergauge.decision.ring.ConsistentHashRing;
 import ottergauge.decision.selection.DeadlineFit;
@@ -379,7 +380,9 @@
     @Override
     public boolean mayBegin(long at, String id, int attemptNumber) {
         Attempt attempt = requests.findAttempt(id, attemptNumber);
-        return attempt != null && slowStart.permitsStart(attempt, at);
+        return attempt != null
+                && RepeatRules.mayBegin(attempt, at)
+                && slowStart.permitsStart(attempt, at);
     }
 
     /** Returns how many servers the operations on the ring have visited, as a measure of cost. */
--- a/src/main/java/ottergauge/decision/request/RepeatRules.java
+++ b/src/main/java/ottergauge/decision/request/RepeatRules.java
@@ -33,15 +33,27 @@
     }
 
     private static boolean isHarmless(Request request, Server server, long now) {
+        return request.isCertainlyNotExecuted()
+                || isHarmlessAfter(request.firstMaybeExecuted(), request, server, now);
+    }
+
+    private static boolean isHarmlessAfter(
+            Attempt first, Request request, Server server, long now) {
         RequestClass requestClass = request.requestClass();
-        if (requestClass.idempotency() == Idempotency.IDEMPOTENT
-                || request.isCertainlyNotExecuted()) {
-            return true;
-        }
+        return requestClass.idempotency() == Idempotency.IDEMPOTENT
+                || (requestClass.idempotency() == Idempotency.KEYED
+                        && inScope(requestClass.deduplicationScope(), first.server(), server)
+                        && now < first.sentAt() + requestClass.deduplicationWindow());
+    }
+
+    /**
+     * Returns whether an outstanding attempt may begin, which can be some time after it was chosen:
+     * its connection may have been established late.
+     */
+    public static boolean mayBegin(Attempt attempt, long now) {
+        Request request = attempt.request();
         Attempt first = request.firstMaybeExecuted();
-        return requestClass.idempotency() == Idempotency.KEYED
-                && inScope(requestClass.deduplicationScope(), first.server(), server)
-                && now < first.sentAt() + requestClass.deduplicationWindow();
+        return first == null || isHarmlessAfter(first, request, attempt.server(), now);
     }
 
     private static boolean inScope(DeduplicationScope scope, Server first, Server second) {
--- a/src/test/java/ottergauge/decision/DecisionEngineTest.java
+++ b/src/test/java/ottergauge/decision/DecisionEngineTest.java
@@ -2,6 +2,7 @@
 package ottergauge.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -927,6 +928,21 @@
                         .size());
     }
 
+    /** A retry can wait for its connection until the deduplication window is over. */
+    @Test
+    void aRetryOfAKeyedRequestMayBeginOnlyInItsDeduplicationWindow() {
+        TestSettings settings = new TestSettings();
+        settings.classes =
+                List.of(TestSettings.newRequestClass(Idempotency.KEYED, DeduplicationScope.ZONE));
+        TestNode node = warm(settings, 4, 10, 50 * MS);
+        long sentAt = node.now;
+        SendAttempt first = TestNode.onlyOfType(SendAttempt.class, node.arrive("a"));
+        assertTrue(node.engine.mayBegin(sentAt + 900 * MS, "a", 0));
+        node.endAttempt("a", 0, first.server(), AttemptResult.ERROR, MS);
+        assertTrue(node.engine.mayBegin(sentAt + 799 * MS, "a", 1));
+        assertFalse(node.engine.mayBegin(sentAt + 800 * MS, "a", 1));
+    }
+
     @Test
     void nothingIsSentToADrainingOrRemovedServer() {
         TestNode node = warm(new TestSettings(), 3, 10, 50 * MS);
