Writes of a connection have a handler in place of a future

Change: they return nothing, and take a handler where the end of the write matters. Behaviour is the same.

--- a/src/main/java/ottergauge/transport/BodyRelay.java
+++ b/src/main/java/ottergauge/transport/BodyRelay.java
@@ -94,15 +94,17 @@
     }
 
     private void write(HttpContent part) {
-        ChannelFuture written = destination.write(part);
         if (part instanceof LastHttpContent) {
             lastPartAdded = true;
             // The source can carry further messages now, even while the destination still writes
             // this body.
             destination.onWritable(() -> {});
             source.resumeReading();
-            written.addListener(done -> lastPartWritten.accept((ChannelFuture) done));
-        } else if (!destination.isWritable()) {
+            destination.write(part, lastPartWritten::accept);
+            return;
+        }
+        destination.write(part);
+        if (!destination.isWritable()) {
             source.pauseReading();
         }
     }
--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.transport;
 
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -320,8 +319,7 @@
         boolean closes = effect.closeAfter() || clientCloses;
         FullHttpResponse response = ClientResponses.complete(effect, closes);
         dropStream();
-        ChannelFuture sent = writeAndFlush(response);
-        sent.addListener(written -> onResponseWritten(closes, written.isSuccess()));
+        writeAndFlush(response, written -> onResponseWritten(closes, written.isSuccess()));
         awaitNextRequest(closes);
     }
 
--- a/src/main/java/ottergauge/transport/Connection.java
+++ b/src/main/java/ottergauge/transport/Connection.java
@@ -2,7 +2,6 @@
 package ottergauge.transport;
 
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -85,15 +84,25 @@
     }
 
     /** Writes a message; a failure ends the connection. */
-    final ChannelFuture writeAndFlush(HttpObject message) {
-        return context.writeAndFlush(message).addListener(closeOnFailure);
+    final void writeAndFlush(HttpObject message) {
+        context.writeAndFlush(message).addListener(closeOnFailure);
+    }
+
+    /** The same; the handler is called once the message is written, or writing it has failed. */
+    final void writeAndFlush(HttpObject message, ChannelFutureListener handler) {
+        context.writeAndFlush(message).addListener(closeOnFailure).addListener(handler);
     }
 
     /**
      * Writes a message, or a part of one, that a later flush sends; a failure ends the connection.
      */
-    final ChannelFuture write(HttpObject message) {
-        return context.write(message).addListener(closeOnFailure);
+    final void write(HttpObject message) {
+        context.write(message).addListener(closeOnFailure);
+    }
+
+    /** The same; the handler is called once the message is written, or writing it has failed. */
+    final void write(HttpObject message, ChannelFutureListener handler) {
+        context.write(message).addListener(closeOnFailure).addListener(handler);
     }
 
     // A write can also fail for lack of memory, which Netty does not close the connection for.
