--- a/src/test/java/ottergauge/program/BodyStreamingIT.java
+++ b/src/test/java/ottergauge/program/BodyStreamingIT.java
@@ -37,7 +37,7 @@
 
     @AfterEach
     void closeAll() throws Exception {
-        server.close();
+        server.closeAll();
     }
 
     private RunningNode nodeInFrontOf(Behaviour behaviour) throws Exception {
--- a/src/test/java/ottergauge/program/ScriptedServer.java
+++ b/src/test/java/ottergauge/program/ScriptedServer.java
@@ -25,7 +25,7 @@
  * A server whose handling of each request a test gives, and the node in front of it. It closes the
  * connection after a request with {@code do=close}, and resets it after one with {@code do=reset}.
  */
-final class ScriptedServer implements AutoCloseable {
+final class ScriptedServer {
 
     /** Handles a request whose head has been read; its body, if any, has not. */
     interface Behaviour {
@@ -61,8 +61,8 @@
         open.add(0, part);
     }
 
-    @Override
-    public void close() throws Exception {
+    /** Closes the servers, the nodes and the other parts. */
+    void closeAll() throws Exception {
         for (AutoCloseable each : open) {
             each.close();
         }
--- a/src/test/java/ottergauge/program/SlowPeersIT.java
+++ b/src/test/java/ottergauge/program/SlowPeersIT.java
@@ -45,7 +45,7 @@
 
     @AfterEach
     void closeAll() throws Exception {
-        server.close();
+        server.closeAll();
     }
 
     private RunningNode nodeInFrontOf(Behaviour behaviour) throws Exception {
