--- a/src/test/java/ottergauge/routing/StreamingTest.java
+++ b/src/test/java/ottergauge/routing/StreamingTest.java
@@ -219,13 +219,33 @@
             node.advanceMs(700);
             setBlocked(client, false);
             node.handle(new Event.BodyProgress(client, 32_000));
-            node.advanceMs(100);
+            node.advanceMs(1_200);
         }
         node.expectNo(Respond.class);
         node.expectNo(CloseClient.class);
         node.expectNo(CloseUpstream.class);
     }
 
+    /**
+     * A client may pause for two seconds while it is read; the time in which it is not read is
+     * extra.
+     */
+    @Test
+    void timeInWhichABodyIsBlocked_doesNotCountAgainstItsClient() {
+        long client = startStreamedRequest("grant", 900);
+        establishConnection();
+        node.handle(new Event.BodyProgress(client, 64_000));
+        node.advanceMs(1_000);
+        setBlocked(client, true);
+        node.advanceMs(700);
+        setBlocked(client, false);
+        node.advanceMs(800);
+        node.expectNo(CloseClient.class);
+        node.advanceMs(1_500);
+        assertEquals(
+                new CloseClient(client, CloseReason.SLOW_REQUEST), node.expect(CloseClient.class));
+    }
+
     /** Guards against taking a client for stalled while its request waits for a server. */
     @Test
     void bodyThatWaitsForAServer_isNotClosed() {
