--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -273,30 +273,50 @@
         }
 
         static Node start(Path folder, String name, int port, String config) throws Exception {
-            Path file = Files.writeString(folder.resolve(name + ".json"), config);
+            Node node = launch(folder, name, name, port, config);
+            node.awaitYes(port, "/health/ready", folder.resolve(name + ".log"));
+            return node;
+        }
+
+        /**
+         * The same for a node with an address for operators, whose answer tells when it serves. A
+         * second process of the node has the same name, port and scratch directory, and files of
+         * its own.
+         */
+        static Node start(
+                Path folder, String name, String files, int port, int management, String config)
+                throws Exception {
+            Node node = launch(folder, name, files, port, config);
+            node.awaitYes(management, "/healthcheck", folder.resolve(files + ".log"));
+            return node;
+        }
+
+        private static Node launch(
+                Path folder, String name, String files, int port, String config)
+                throws Exception {
+            Path file = Files.writeString(folder.resolve(files + ".json"), config);
             Path scratch = Files.createDirectories(folder.resolve(name + ".tmp"));
             ProcessBuilder builder =
                     new ProcessBuilder("/bin/sh", "-c", deployLine("run"))
                             .redirectErrorStream(true)
-                            .redirectOutput(folder.resolve(name + ".log").toFile());
+                            .redirectOutput(folder.resolve(files + ".log").toFile());
             builder.environment().put("BALANCER_NAME", name);
             builder.environment().put("BALANCER_LISTEN", "127.0.0.1:" + port);
             builder.environment().put("BALANCER_CONFIG", file.toString());
             builder.environment().put("TMPDIR", scratch.toString());
             Node node = new Node(builder.start(), port);
             STARTED.add(node.process);
-            node.awaitReady(folder.resolve(name + ".log"));
             return node;
         }
 
-        private void awaitReady(Path log) throws Exception {
+        private void awaitYes(int callPort, String path, Path log) throws Exception {
             double until = now() + 30_000;
             while (now() < until && process.isAlive()) {
                 try (Socket socket = new Socket()) {
-                    socket.connect(new InetSocketAddress("127.0.0.1", port), 500);
+                    socket.connect(new InetSocketAddress("127.0.0.1", callPort), 500);
                     socket.setSoTimeout(1_000);
                     socket.getOutputStream()
-                            .write(ascii("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"));
+                            .write(ascii("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n"));
                     Message answer = read(new BufferedInputStream(socket.getInputStream()));
                     if (answer != null && answer.status() == 200) {
                         log("the node is ready, process " + process.pid());
