A connection whose waiting upload was rejected is read again

Cause: BodyRelay stops reading the client's connection until a server is chosen. If the body had arrived completely by then and the request was rejected while it waited, nothing resumed reading.

Change: reading resumes as soon as the last byte has arrived, since nothing of a complete request has to be held back. The other places that stop reading end in the last part of a body or in a closed connection.

--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -271,9 +271,11 @@
         events.accept(new StreamedRequestCompleted(number));
         StreamedBody received = stream;
         streamReceived = true;
-        // If no server has been chosen yet, the body is kept until one is.
+        // If no server has been chosen yet, the body is kept until one is. The connection is read
+        // meanwhile: its client may leave, or get a response and send the next request.
         stream = received.hasDestination() ? null : received;
         received.complete();
+        resumeReading();
     }
 
     private void reportRequest() {
