An upload whose client has left while it waited is not forwarded

Cause: while such a request waits, its connection is not read, and the end of a connection shows only behind the bytes before it. ReadPendingInput reads all input before the first byte of an attempt, but not of paused connections. Its confirmation was bound to the connection alone, so that the confirmation of a withdrawn attempt let the next one begin.

If that does not suffice and the client was not read for over 0.1 s, the request is rejected as never run, with Retry-After. The confirmation names its attempt.

--- a/src/main/java/ottergauge/routing/DownstreamConnections.java
+++ b/src/main/java/ottergauge/routing/DownstreamConnections.java
@@ -196,6 +196,12 @@
         return Optional.of(connection.request);
     }
 
+    /** For how long the node has not read the body of a streamed request, in microseconds. */
+    long pausedMicros(long now, InFlightRequest request) {
+        Connection connection = connections.get(request.client);
+        return connection != null && connection.isBodyBlocked() ? now - connection.blockedSince : 0;
+    }
+
     /** The last byte of a streamed request has arrived; returns the request. */
     Optional<InFlightRequest> requestCompleted(long client) {
         Connection connection = connections.get(client);
--- a/src/main/java/ottergauge/routing/Effect.java
+++ b/src/main/java/ottergauge/routing/Effect.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.routing;
 
+import java.util.OptionalLong;
 import ottergauge.protocol.Address;
 import ottergauge.protocol.Content;
 import ottergauge.protocol.EndpointList;
@@ -35,10 +36,14 @@
 
     /**
      * Reads all input that has arrived on any connection, and confirms it with {@link
-     * Event.PendingInputRead}. The router then decides on current information whether the request
+     * Event.PendingInputRead}. The router then decides on current information whether the attempt
      * is still to be sent.
+     *
+     * @param pausedClient the client whose streamed request the attempt carries, if its connection
+     *     is not read while the request waits; what it has sent meanwhile is read too
      */
-    record ReadPendingInput(long connection) implements Effect {}
+    record ReadPendingInput(long connection, long attempt, OptionalLong pausedClient)
+            implements Effect {}
 
     /** Writes a request to a server; the node waits for the response until the timeout. */
     record Forward(long connection, ClientRequest request, long timeoutMicros) implements Effect {}
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -82,8 +82,14 @@
     /** A connection to a server could not be established. */
     record UpstreamConnectFailed(long connection) implements Event {}
 
-    /** The reply to {@link Effect.ReadPendingInput}: all input that had arrived has been read. */
-    record PendingInputRead(long connection) implements Event {}
+    /**
+     * The reply to {@link Effect.ReadPendingInput}: all input that had arrived has been read.
+     *
+     * @param clientCaughtUp whether this includes everything that the paused client has sent; false
+     *     if there was too much of it, so that its disconnection may have gone unnoticed
+     */
+    record PendingInputRead(long connection, long attempt, boolean clientCaughtUp)
+            implements Event {}
 
     /** The last byte of the request on a connection to a server is written. */
     record RequestWritten(long connection) implements Event {}
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -29,6 +29,8 @@
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int MICROS_PER_MS = 1000;
+    // An attempt must not begin later than this after its client has disconnected.
+    private static final long MAX_UNSEEN_MICROS = 100_000;
 
     private final InFlightRequests requests;
     private final DownstreamConnections clients;
@@ -193,6 +195,22 @@
                         });
     }
 
+    /**
+     * Sends an attempt or probe, unless its client may have disconnected too long ago.
+     *
+     * @param clientCaughtUp whether the node has read everything that the client has sent
+     */
+    void send(long now, Attempt attempt, boolean clientCaughtUp) {
+        if (clientCaughtUp || clients.pausedMicros(now, attempt.request) <= MAX_UNSEEN_MICROS) {
+            attempts.send(now, attempt);
+            return;
+        }
+        InFlightRequest request = attempt.request;
+        RequestLimits limits = settings.current().decisions().limits();
+        decisionEvents.accept(new ClientDisconnected(request.id));
+        reject(now, request.id, limits.retryAfterAllowed() ? limits.maxRetryAfter() : 0);
+    }
+
     /** The last byte of an attempt or a probe is written. */
     void requestWritten(long now, Attempt attempt) {
         if (!attempt.isProbe() && attempt.request.relaying == null) {
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -186,7 +186,9 @@
 
     private boolean dispatchUpstreamEvent(Event event) {
         if (event instanceof Event.PendingInputRead e) {
-            upstreams.pendingSend(e.connection()).ifPresent(attempt -> attempts.send(now, attempt));
+            upstreams
+                    .pendingSend(e.connection(), e.attempt())
+                    .ifPresent(attempt -> requests.send(now, attempt, e.clientCaughtUp()));
         } else if (event instanceof Event.RequestWritten e) {
             upstreams
                     .sendCompleted(e.connection())
--- a/src/main/java/ottergauge/routing/UpstreamPool.java
+++ b/src/main/java/ottergauge/routing/UpstreamPool.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import ottergauge.decision.api.EndpointState;
@@ -183,7 +184,13 @@
     private void assign(PooledConnection connection, Attempt attempt) {
         connection.attempt = attempt;
         attempt.connection = connection;
-        effects.accept(new ReadPendingInput(connection.number));
+        effects.accept(
+                new ReadPendingInput(connection.number, attempt.number, pausedClient(attempt)));
+    }
+
+    private static OptionalLong pausedClient(Attempt attempt) {
+        boolean paused = !attempt.isProbe() && !attempt.request.complete;
+        return paused ? OptionalLong.of(attempt.request.client) : OptionalLong.empty();
     }
 
     /** The attempt that a connection carries or is about to carry. */
@@ -192,9 +199,10 @@
         return connection == null ? Optional.empty() : Optional.ofNullable(connection.attempt);
     }
 
-    /** The attempt that a connection is about to carry. */
-    Optional<Attempt> pendingSend(long number) {
-        return attemptOn(number).filter(attempt -> !attempt.sendStarted);
+    /** This attempt, if it is still the one that a connection is about to carry. */
+    Optional<Attempt> pendingSend(long number, long attemptNumber) {
+        return attemptOn(number)
+                .filter(attempt -> attempt.number == attemptNumber && !attempt.sendStarted);
     }
 
     /**
--- a/src/main/java/ottergauge/transport/BodyRelay.java
+++ b/src/main/java/ottergauge/transport/BodyRelay.java
@@ -7,7 +7,9 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -31,6 +33,7 @@
     private final Deque<HttpContent> queued = new ArrayDeque<>();
     private Connection destination;
     private Consumer<ChannelFuture> lastPartWritten;
+    private final List<ReadAheadBudget.Reservation> readAhead = new ArrayList<>(0);
     private boolean blocked = true;
     private boolean lastPartAdded;
     private boolean dropped;
@@ -63,6 +66,16 @@
         return destination != null;
     }
 
+    /** Counts parts that are queued beyond those that a body has when it begins to be streamed. */
+    void countReadAhead(ReadAheadBudget.Reservation reservation) {
+        readAhead.add(reservation);
+    }
+
+    private void releaseReadAhead() {
+        readAhead.forEach(ReadAheadBudget.Reservation::release);
+        readAhead.clear();
+    }
+
     /**
      * Relays to this connection from now on.
      *
@@ -81,6 +94,7 @@
 
     private void resume() {
         if (!dropped && destination.isWritable()) {
+            releaseReadAhead();
             source.resumeReading();
             setBlocked(false);
         }
@@ -100,7 +114,7 @@
             // this body.
             destination.onWritable(() -> {});
             source.resumeReading();
-            destination.write(part, lastPartWritten::accept);
+            destination.write(part, this::onLastPartWritten);
             return;
         }
         destination.write(part);
@@ -109,6 +123,11 @@
         }
     }
 
+    private void onLastPartWritten(ChannelFuture written) {
+        releaseReadAhead();
+        lastPartWritten.accept(written);
+    }
+
     /** Flushes what was written since the last flush. */
     void flush() {
         if (destination == null) {
@@ -123,6 +142,7 @@
     /** Ends the relay: queued parts are released and further ones are ignored. */
     void drop() {
         dropped = true;
+        releaseReadAhead();
         for (HttpContent part = queued.poll(); part != null; part = queued.poll()) {
             part.release();
         }
--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -227,6 +227,30 @@
         events.accept(new RequestBodyFlowChanged(number, blocked));
     }
 
+    /**
+     * Reads what the client has sent while its streamed request waited for a server. The end of the
+     * connection is behind these bytes and can't be noticed before they are read.
+     *
+     * @return whether everything that has arrived is read now; false if the budget is used up first
+     */
+    boolean readAhead(ReadAheadBudget budget) {
+        if (stream == null || streamReceived || stream.hasDestination()) {
+            return true;
+        }
+        StreamedBody waiting = stream;
+        long begin = decoder.receivedBytes();
+        long limit = begin + budget.availableBytes();
+        long before;
+        do {
+            before = decoder.receivedBytes();
+            readOnce();
+        } while (isOpen() && before < decoder.receivedBytes() && decoder.receivedBytes() < limit);
+        if (stream == waiting) {
+            waiting.countReadAhead(budget.reserve(decoder.receivedBytes() - begin));
+        }
+        return !isOpen() || before == decoder.receivedBytes();
+    }
+
     /** Relays the body of the streamed request, if there still is one, to a server's connection. */
     void relayRequestTo(OutboundConnection server, ClientRequest request, long timeoutMs) {
         if (stream == null) {
--- a/src/main/java/ottergauge/transport/Connection.java
+++ b/src/main/java/ottergauge/transport/Connection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
@@ -122,6 +123,15 @@
         context.channel().config().setAutoRead(true);
     }
 
+    /** Reads what has arrived, up to one read, although reading may be paused. */
+    final void readOnce() {
+        ((AbstractNioChannel.NioUnsafe) context.channel().unsafe()).read();
+    }
+
+    final boolean isOpen() {
+        return context.channel().isActive();
+    }
+
     /**
      * Whether more may be written. This is false from the moment at which the bytes that wait to be
      * written exceed the high-water mark until they fall below the low-water mark.
--- a/src/main/java/ottergauge/transport/DownstreamConnections.java
+++ b/src/main/java/ottergauge/transport/DownstreamConnections.java
@@ -34,6 +34,7 @@
 
     private final EventLoopMonitor monitor;
     private final Consumer<Event> events;
+    private final ReadAheadBudget readAheadBudget = new ReadAheadBudget();
     private final Map<Long, ClientConnection> connections = new HashMap<>();
     private long lastNumber;
     private String side = ConnectionLog.SELF;
@@ -107,6 +108,15 @@
         }
     }
 
+    /**
+     * Reads what a client has sent while its streamed request waited for a server; returns whether
+     * everything that has arrived is read now.
+     */
+    boolean readAhead(long client) {
+        ClientConnection connection = connections.get(client);
+        return connection == null || connection.readAhead(readAheadBudget);
+    }
+
     /**
      * Relays a client's streamed request to a server; {@code server} is null if that connection has
      * ended.
--- a/src/main/java/ottergauge/transport/EffectPerformer.java
+++ b/src/main/java/ottergauge/transport/EffectPerformer.java
@@ -3,6 +3,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -89,10 +90,18 @@
     // The loop reads the input that has arrived before it runs its tasks, and it reports the end of
     // a connection in such a task. The event is therefore sent by a second task, which the first
     // task schedules. If this round has taken long, more input has arrived meanwhile, and the next
-    // round reads it first.
+    // round reads it first. A client that is not read while its request waits is read in the first
+    // task.
     private void readPendingInput(Effect.ReadPendingInput effect) {
-        Event read = new Event.PendingInputRead(effect.connection());
-        Runnable afterReading = () -> loop.execute(() -> events.take(read));
+        Runnable afterReading =
+                () -> {
+                    OptionalLong paused = effect.pausedClient();
+                    boolean caughtUp = paused.isEmpty() || clients.readAhead(paused.getAsLong());
+                    Event read =
+                            new Event.PendingInputRead(
+                                    effect.connection(), effect.attempt(), caughtUp);
+                    loop.execute(() -> events.take(read));
+                };
         if (monitor.isBehind()) {
             LoopTasks.schedule(loop, afterReading, NEXT_ROUND_MS, TimeUnit.MILLISECONDS);
         } else {
--- a/src/main/java/ottergauge/transport/HttpFraming.java
+++ b/src/main/java/ottergauge/transport/HttpFraming.java
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.transport;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -58,10 +60,26 @@
 
     /** Decodes requests. */
     static final class RequestDecoder extends HttpRequestDecoder {
+
+        private long receivedBytes;
+
         RequestDecoder() {
             super(CONFIG);
         }
 
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+            if (message instanceof ByteBuf bytes) {
+                receivedBytes += bytes.readableBytes();
+            }
+            super.channelRead(ctx, message);
+        }
+
+        /** How many bytes the connection has received so far. */
+        long receivedBytes() {
+            return receivedBytes;
+        }
+
         @Override
         protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
             throw ambiguousLength();
--- a/src/main/java/ottergauge/transport/JitWarmUp.java
+++ b/src/main/java/ottergauge/transport/JitWarmUp.java
@@ -243,7 +243,7 @@
             // The poll fails, so that the node keeps the simulated servers.
             events.take(new Event.DiscoveryPollFailed(e.poll()));
         } else if (effect instanceof Effect.ReadPendingInput e) {
-            events.take(new Event.PendingInputRead(e.connection()));
+            events.take(new Event.PendingInputRead(e.connection(), e.attempt(), true));
         } else if (effect instanceof Effect.ProbeLoad e) {
             servers.probeLoad(e);
         } else if (effect instanceof Effect.StartTimer e && e.timer() instanceof Timer.Decision) {
--- a/src/main/java/ottergauge/transport/StreamedBody.java
+++ b/src/main/java/ottergauge/transport/StreamedBody.java
@@ -60,6 +60,11 @@
         return Added.RELAYED;
     }
 
+    /** Counts bytes of this body that were read before it has a destination. */
+    void countReadAhead(ReadAheadBudget.Reservation readAhead) {
+        relay.countReadAhead(readAhead);
+    }
+
     boolean hasDestination() {
         return relay.hasDestination();
     }
--- a/src/test/java/ottergauge/routing/RouterDriver.java
+++ b/src/test/java/ottergauge/routing/RouterDriver.java
@@ -43,6 +43,7 @@
     private final Deque<Effect.ReadPendingInput> reads = new ArrayDeque<>();
     private final Router router;
     private boolean holdsPendingReads;
+    private boolean unreadBacklog;
     private long now = 1_000_000_000_000L;
     private long order;
     private long lastClient;
@@ -84,7 +85,7 @@
     void handle(Event event) {
         router.handle(now, event);
         while (!holdsPendingReads && !reads.isEmpty()) {
-            router.handle(now, new Event.PendingInputRead(reads.poll().connection()));
+            confirm(reads.poll());
         }
     }
 
@@ -100,10 +101,25 @@
     void releasePendingReads() {
         holdsPendingReads = false;
         for (Effect.ReadPendingInput read = reads.poll(); read != null; read = reads.poll()) {
-            router.handle(now, new Event.PendingInputRead(read.connection()));
+            confirm(read);
         }
     }
 
+    private void confirm(Effect.ReadPendingInput read) {
+        router.handle(
+                now, new Event.PendingInputRead(read.connection(), read.attempt(), !unreadBacklog));
+    }
+
+    /** The delayed confirmation that the router has waited for longest. */
+    Effect.ReadPendingInput firstPendingRead() {
+        return reads.getFirst();
+    }
+
+    /** From now on, clients have always sent more than the node can read before an attempt. */
+    void leaveUnreadBacklog() {
+        unreadBacklog = true;
+    }
+
     void advanceMs(long ms) {
         long until = now + ms * 1000;
         while (!timers.isEmpty() && timers.peek().at() <= until) {
--- a/src/test/java/ottergauge/routing/StreamingTest.java
+++ b/src/test/java/ottergauge/routing/StreamingTest.java
@@ -89,6 +89,52 @@
         establishConnection();
     }
 
+    /**
+     * Guards against an attempt for a client that has left: its disconnection is behind more bytes
+     * than the node can read before it has a server. If the node has not read the client for over
+     * 0.1 s, the request is rejected, otherwise it is sent.
+     */
+    @ParameterizedTest
+    @CsvSource({"101,true", "99,false"})
+    void clientThatIsNotReadForTooLong_isRejectedInsteadOfSent(long unreadMs, boolean rejected) {
+        node.leaveUnreadBacklog();
+        long client = startStreamedRequest("grant", 1000);
+        node.handle(new Event.RequestBodyFlowChanged(client, true));
+        long connection = node.expect(ConnectUpstream.class).connection();
+        node.advanceMs(unreadMs);
+        node.handle(new Event.UpstreamConnected(connection));
+        assertEquals(!rejected, node.has(ForwardStream.class));
+        assertEquals(rejected, node.has(Respond.class));
+        if (rejected) {
+            Respond respond = node.expect(Respond.class);
+            assertEquals(503, respond.status());
+            assertTrue(respond.retryAfterMicros() > 0);
+        }
+    }
+
+    /**
+     * Guards against an attempt that is sent on the confirmation meant for the attempt before it on
+     * the same connection: its own client would not be read before.
+     */
+    @Test
+    void attemptWaitsForItsOwnConfirmation() {
+        RouterDriver oneServer =
+                new RouterDriver(
+                        new TestConfig()
+                                .withEndpoints(endpointJson("s-1", "10.1.0.1:3000", "in_service")));
+        long left = startStreamedRequest(oneServer, "grant", 1000);
+        long connection = oneServer.expect(ConnectUpstream.class).connection();
+        oneServer.holdPendingReads();
+        oneServer.handle(new Event.UpstreamConnected(connection));
+        Effect.ReadPendingInput first = oneServer.firstPendingRead();
+        startStreamedRequest(oneServer, "grant", 1000);
+        oneServer.handle(new Event.ClientClosed(left));
+        oneServer.handle(new Event.PendingInputRead(first.connection(), first.attempt(), true));
+        oneServer.expectNo(ForwardStream.class);
+        oneServer.releasePendingReads();
+        assertEquals(connection, oneServer.expect(ForwardStream.class).connection());
+    }
+
     /**
      * The timeout of a streamed request starts at its last byte. If it started at the first byte,
      * every slow upload would time out.
