An upload that is broken off ends its attempt without cancellation too

Callers saw: nothing; servers kept a connection that waits for the rest of a body.

Cause: RequestHandler.finish withdrew only attempts without a first byte. One that lacks its last byte has no result to come, and no timeout runs while a body is on its way. Where cancellation is allowed, the decision module's CancelAttempt ended it.

Change: an attempt that lacks its last byte is withdrawn with its request. No server can have run it.

Result: StreamingTest.uploadThatIsBrokenOff_endsItsAttemptWithoutCancellation failed before (no CloseUpstream) and passes.

--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -286,16 +286,16 @@
     }
 
     /**
-     * Finishes a request and withdraws its attempts that are not sent yet. Attempts that are
-     * already sent end with their own results.
+     * Finishes a request and withdraws its attempts whose last byte is not written yet. Attempts
+     * that are already sent end with their own results.
      */
     void finish(long now, InFlightRequest request) {
         request.finished = true;
         streams.remove(request);
-        // An attempt that is not sent can be withdrawn even if the settings do not allow
-        // cancellation.
+        // No server runs an attempt that it lacks the end of, so that it can be withdrawn even if
+        // the settings do not allow cancellation. The rest of a streamed request never comes.
         for (Attempt attempt : List.copyOf(request.outstanding)) {
-            if (!attempt.sendStarted) {
+            if (!attempt.sendStarted || attempt.isStreamingRequest()) {
                 attempts.withdraw(now, attempt);
             }
         }
--- a/src/test/java/ottergauge/routing/StreamingTest.java
+++ b/src/test/java/ottergauge/routing/StreamingTest.java
@@ -135,6 +135,24 @@
         assertEquals(connection, oneServer.expect(ForwardStream.class).connection());
     }
 
+    /**
+     * Guards against an attempt without end: a client breaks off its upload where the settings do
+     * not allow cancellation. The server lacks the last byte and waits for it in vain.
+     */
+    @Test
+    void uploadThatIsBrokenOff_endsItsAttemptWithoutCancellation() {
+        RouterDriver noCancellation =
+                new RouterDriver(
+                        new TestConfig()
+                                .withoutCancellation()
+                                .withEndpoints(endpointJson("s-1", "10.1.0.1:3000", "in_service")));
+        long client = startStreamedRequest(noCancellation, "grant", 1000);
+        long connection = noCancellation.expect(ConnectUpstream.class).connection();
+        noCancellation.handle(new Event.UpstreamConnected(connection));
+        noCancellation.handle(new Event.ClientClosed(client));
+        assertEquals(connection, noCancellation.expect(CloseUpstream.class).connection());
+    }
+
     /**
      * The timeout of a streamed request starts at its last byte. If it started at the first byte,
      * every slow upload would time out.
