At a planned restart all that is open is answered before SIGKILL

Cause: Shutdown set the time of the last response only when another process of the node takes over; otherwise a late request got its full time. In both cases nothing ended what was still arriving.

Change: the last response is due half a second after the longest deadline in both cases. At that time requests that are still arriving are rejected as never run, with Retry-After, and complete ones fail; later requests are rejected at once. Rejected: closing half-read connections without a response, which would lose a request whose last byte is on its way.

--- a/src/main/java/ottergauge/routing/DownstreamConnections.java
+++ b/src/main/java/ottergauge/routing/DownstreamConnections.java
@@ -286,6 +286,16 @@
                         close || incomplete || closesAfterResponses));
     }
 
+    /** Answers the requests that have not arrived far enough to be accepted. */
+    void rejectIncomplete(long now, int status, long retryAfterMicros) {
+        for (Map.Entry<Long, Connection> entry : new ArrayList<>(connections.entrySet())) {
+            Connection connection = entry.getValue();
+            if (connection.stage == Stage.READING_REQUEST && connection.request == null) {
+                respond(now, entry.getKey(), status, retryAfterMicros, Content.NONE, true);
+            }
+        }
+    }
+
     /** Answers an invalid request, reports it, and closes the connection after the response. */
     void reject(long now, long client, int status, String reason) {
         if (now - reportWindowStart >= MICROS_PER_SECOND) {
--- a/src/main/java/ottergauge/routing/InFlightRequests.java
+++ b/src/main/java/ottergauge/routing/InFlightRequests.java
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.routing;
 
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import ottergauge.decision.api.RequestClass;
 import ottergauge.routing.Event.ClientRequest;
@@ -45,6 +47,14 @@
         return byId.get(id);
     }
 
+    /** The requests that are not finished, in the order in which they were accepted. */
+    List<InFlightRequest> unfinished() {
+        return byId.values().stream()
+                .filter(request -> !request.finished)
+                .sorted(Comparator.comparingLong(request -> Long.parseLong(request.id)))
+                .toList();
+    }
+
     /** Removes a request if it is finished and none of its attempts is outstanding. */
     void removeIfDone(InFlightRequest request) {
         if (request.finished && request.outstanding.isEmpty()) {
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -125,8 +125,7 @@
         } else if (streams.admitsRequest()) {
             streams.add(request);
         } else {
-            RequestLimits limits = settings.current().decisions().limits();
-            reject(now, request.id, limits.retryAfterAllowed() ? limits.maxRetryAfter() : 0);
+            reject(now, request.id, maxRetryAfter());
             return;
         }
         decisionEvents.accept(
@@ -138,6 +137,11 @@
                         affinityKey(request.content)));
     }
 
+    private long maxRetryAfter() {
+        RequestLimits limits = settings.current().decisions().limits();
+        return limits.retryAfterAllowed() ? limits.maxRetryAfter() : 0;
+    }
+
     // A server can reuse the work of one request for others with the same URI.
     private static long affinityKey(ClientRequest request) {
         return request.uri().hashCode();
@@ -205,10 +209,28 @@
             attempts.send(now, attempt);
             return;
         }
-        InFlightRequest request = attempt.request;
-        RequestLimits limits = settings.current().decisions().limits();
+        rejectUnfinished(now, attempt.request);
+    }
+
+    /**
+     * Answers all requests that are unanswered or still arriving, since the process may soon be
+     * killed. No server can have run one that is still arriving.
+     */
+    void endUnanswered(long now) {
+        for (InFlightRequest request : requests.unfinished()) {
+            if (request.complete) {
+                decisionEvents.accept(new ClientDisconnected(request.id));
+                fail(now, request.id);
+            } else {
+                rejectUnfinished(now, request);
+            }
+        }
+        clients.rejectIncomplete(now, UNAVAILABLE, maxRetryAfter());
+    }
+
+    private void rejectUnfinished(long now, InFlightRequest request) {
         decisionEvents.accept(new ClientDisconnected(request.id));
-        reject(now, request.id, limits.retryAfterAllowed() ? limits.maxRetryAfter() : 0);
+        reject(now, request.id, maxRetryAfter());
     }
 
     /** The last byte of an attempt or a probe is written. */
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -268,6 +268,8 @@
             endpoints.watch().pollTimedOut(now, timeout.poll());
         } else if (timer instanceof Timer.NextPoll next) {
             endpoints.watch().resume(now, next.afterPoll());
+        } else if (timer instanceof Timer.LastResponseDue) {
+            requests.endUnanswered(now);
         } else if (timer instanceof Timer.QuietPeriodOver) {
             shutdown.quietPeriodOver();
         } else {
--- a/src/main/java/ottergauge/routing/Shutdown.java
+++ b/src/main/java/ottergauge/routing/Shutdown.java
@@ -13,8 +13,8 @@
 
     // The load balancers in front of the node stop sending new clients within 0.4 s.
     private static final long QUIET_PERIOD_MICROS = 500_000;
-    // After a handover the process is killed 0.7 s after the longest deadline.
-    private static final long HANDOVER_MARGIN_MICROS = 500_000;
+    // The process may be killed 0.7 s after the longest deadline.
+    private static final long LAST_RESPONSE_MARGIN_MICROS = 500_000;
     // A request that arrives at the end of the quiet period has at least this long.
     private static final long LAST_REQUEST_MICROS = 400_000;
 
@@ -42,15 +42,14 @@
         }
         begun = true;
         clients.closeAfterResponses();
+        long untilLastResponse = longestDeadline + LAST_RESPONSE_MARGIN_MICROS;
+        lastResponseAt = now + untilLastResponse;
+        effects.accept(new StartTimer(untilLastResponse, new Timer.LastResponseDue()));
         if (handover) {
             // Open connections are closed after their next response. If they were closed while
             // idle, a request could arrive at the same moment.
             effects.accept(new StopAccepting());
-            lastResponseAt = now + longestDeadline + HANDOVER_MARGIN_MICROS;
-            long quietPeriod =
-                    longestDeadline
-                            + HANDOVER_MARGIN_MICROS
-                            - Math.min(LAST_REQUEST_MICROS, longestDeadline);
+            long quietPeriod = untilLastResponse - Math.min(LAST_REQUEST_MICROS, longestDeadline);
             effects.accept(new StartTimer(quietPeriod, new Timer.QuietPeriodOver()));
         } else {
             effects.accept(new StartTimer(QUIET_PERIOD_MICROS, new Timer.QuietPeriodOver()));
--- a/src/main/java/ottergauge/routing/Timer.java
+++ b/src/main/java/ottergauge/routing/Timer.java
@@ -28,6 +28,9 @@
     /** Time for the next poll of discovery, unless one was sent after the poll of this number. */
     record NextPoll(long afterPoll) implements Timer {}
 
+    /** The process may soon be killed; what is unanswered is answered now. */
+    record LastResponseDue() implements Timer {}
+
     /** No new clients are expected any more after the node was asked to stop. */
     record QuietPeriodOver() implements Timer {}
 }
--- a/src/test/java/ottergauge/routing/RouterDriver.java
+++ b/src/test/java/ottergauge/routing/RouterDriver.java
@@ -150,6 +150,11 @@
         return fail("no " + kind.getSimpleName() + " in " + effects);
     }
 
+    /** The effects of a type, which stay. */
+    <E extends Effect> List<E> all(Class<E> kind) {
+        return effects.stream().filter(kind::isInstance).map(kind::cast).toList();
+    }
+
     boolean has(Class<? extends Effect> kind) {
         return effects.stream().anyMatch(kind::isInstance);
     }
