The id of a request that may have run is not executed again

Cause: InFlightRequests forgot a trace id as soon as its request was over. When a client leaves, its attempt is cancelled by closing the connection and counts as ended, although the server may have run it. A request whose response was being relayed did not count as in flight either.

Change: ids of requests that may have been executed are remembered for 10 s after the end (unsafe: always; keyed: unless served, since servers recognize the key). A request is in flight until its response is relayed. At most 16,384 hashes are kept, so that ever new ids take bounded memory.

--- a/src/main/java/ottergauge/routing/Attempts.java
+++ b/src/main/java/ottergauge/routing/Attempts.java
@@ -285,6 +285,7 @@
         }
         InFlightRequest request = attempt.request;
         request.outstanding.remove(attempt);
+        request.mayHaveRun |= attempt.sendCompleted && !result.neverRan();
         decisionEvents.accept(
                 new AttemptEnded(
                         request.id,
@@ -294,6 +295,6 @@
                         elapsed,
                         request.finished,
                         report));
-        requests.removeIfDone(request);
+        requests.removeIfDone(now, request);
     }
 }
--- a/src/main/java/ottergauge/routing/InFlightRequest.java
+++ b/src/main/java/ottergauge/routing/InFlightRequest.java
@@ -49,6 +49,12 @@
     /** The number of attempts that the decision module has requested. */
     int attemptCount;
 
+    /** Whether a server may have executed it. */
+    boolean mayHaveRun;
+
+    /** Whether its client has got a server's response to it. */
+    boolean served;
+
     /** Whether it is answered, or its client has disconnected. */
     boolean finished;
 
--- a/src/main/java/ottergauge/routing/InFlightRequests.java
+++ b/src/main/java/ottergauge/routing/InFlightRequests.java
@@ -3,21 +3,39 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import ottergauge.decision.api.RequestClass;
 import ottergauge.routing.Event.ClientRequest;
 
-/** The table of in-flight requests. */
+/**
+ * The table of in-flight requests. It remembers the trace ids of requests that may have been
+ * executed for a while after their end, so that a copy of one is not executed again.
+ */
 final class InFlightRequests {
 
+    // Longer than any deadline, so that a copy of a request that a server may still be executing is
+    // recognized.
+    private static final long REMEMBERED_MICROS = 10_000_000;
+    private static final int MAX_REMEMBERED = 16_384;
+
     private final Map<String, InFlightRequest> byId = new HashMap<>();
     private final Map<String, InFlightRequest> byTraceId = new HashMap<>();
+
+    /** Until when the hashes of trace ids are remembered, in the order of their expiry. */
+    private final Map<Long, Long> remembered = new LinkedHashMap<>();
+
     private long lastId;
 
-    /** Whether a request with this trace id is in flight. */
-    boolean containsTraceId(String traceId) {
-        return byTraceId.containsKey(traceId);
+    /**
+     * Whether a request with this trace id is in flight, or has ended recently and must not be
+     * executed again.
+     */
+    boolean containsTraceId(long now, String traceId) {
+        forgetExpired(now);
+        return byTraceId.containsKey(traceId) || remembered.containsKey(TraceIdHash.of(traceId));
     }
 
     /** Adds a request under a new id. Times and durations are in microseconds. */
@@ -55,11 +73,48 @@
                 .toList();
     }
 
-    /** Removes a request if it is finished and none of its attempts is outstanding. */
-    void removeIfDone(InFlightRequest request) {
-        if (request.finished && request.outstanding.isEmpty()) {
-            byId.remove(request.id);
-            byTraceId.remove(request.content.fields().traceId());
+    /**
+     * Removes a request if it is finished, none of its attempts is outstanding and no response to
+     * it is being relayed.
+     */
+    void removeIfDone(long now, InFlightRequest request) {
+        if (!request.finished || !request.outstanding.isEmpty() || request.relaying != null) {
+            return;
+        }
+        String traceId = request.content.fields().traceId();
+        if (byId.remove(request.id) == null) {
+            return;
+        }
+        byTraceId.remove(traceId);
+        if (request.mayHaveRun && !mayRunAgain(request)) {
+            remember(now, TraceIdHash.of(traceId));
+        }
+    }
+
+    // Servers recognize another request with the idempotency key of one that was served.
+    private static boolean mayRunAgain(InFlightRequest request) {
+        return switch (request.requestClass.idempotency()) {
+            case IDEMPOTENT -> true;
+            case KEYED -> request.served;
+            case NON_IDEMPOTENT -> false;
+        };
+    }
+
+    private void remember(long now, long hash) {
+        remembered.remove(hash);
+        remembered.put(hash, now + REMEMBERED_MICROS);
+        if (remembered.size() > MAX_REMEMBERED) {
+            Iterator<Long> oldest = remembered.keySet().iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
+    /** Forgets the trace ids that have been remembered for long enough. */
+    void forgetExpired(long now) {
+        Iterator<Long> expiries = remembered.values().iterator();
+        while (expiries.hasNext() && expiries.next() <= now) {
+            expiries.remove();
         }
     }
 }
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -93,13 +93,9 @@
                             + quoted(fields.requestClass()));
             return;
         }
-        if (requests.containsTraceId(fields.traceId())) {
-            // If it were forwarded, two copies of one request could be outstanding at a server.
-            clients.reject(
-                    now,
-                    client,
-                    CONFLICT,
-                    "a request with trace id " + quoted(fields.traceId()) + " is in flight");
+        if (requests.containsTraceId(now, fields.traceId())) {
+            // If it were forwarded, servers could execute one request twice.
+            clients.reject(now, client, CONFLICT, duplicateOf(fields.traceId()));
             return;
         }
         long timeout = fields.expiresInMs() * MICROS_PER_MS;
@@ -114,6 +110,10 @@
                 indexed.index());
     }
 
+    private static String duplicateOf(String traceId) {
+        return "a request with trace id " + quoted(traceId) + " is in flight or was executed";
+    }
+
     private static String quoted(String value) {
         return '"' + value + '"';
     }
@@ -269,8 +269,14 @@
 
     private void stopRelaying(long now, InFlightRequest request) {
         upstreams.abandon(now, request.relaying, CloseReason.CLIENT_GONE);
+        relayEnded(now, request);
+    }
+
+    /** The response to a request is no longer being relayed. */
+    void relayEnded(long now, InFlightRequest request) {
         request.relaying = null;
         streams.remove(request);
+        requests.removeIfDone(now, request);
     }
 
     /** A server has answered an attempt or a probe completely. */
@@ -298,6 +304,7 @@
             return;
         }
         countAccepted(request);
+        request.served = status == OK;
         switch (status) {
             case OK -> metrics.completed(request.requestClass);
             case UNAVAILABLE -> metrics.rejected(request.requestClass);
@@ -321,6 +328,6 @@
                 attempts.withdraw(now, attempt);
             }
         }
-        requests.removeIfDone(request);
+        requests.removeIfDone(now, request);
     }
 }
--- a/src/main/java/ottergauge/routing/StreamedResponses.java
+++ b/src/main/java/ottergauge/routing/StreamedResponses.java
@@ -104,7 +104,8 @@
                 .ifPresent(
                         attempt -> {
                             InFlightRequest request = attempt.request;
-                            relayed(request);
+                            request.served = true;
+                            requests.relayEnded(now, request);
                             metrics.completed(request.requestClass);
                             clients.relayCompleted(now, request.client);
                         });
@@ -119,13 +120,8 @@
             attempts.connectionClosed(now, attempt, malformed);
             return;
         }
-        relayed(request);
+        requests.relayEnded(now, request);
         metrics.failed(request.requestClass);
         clients.truncate(request.client);
     }
-
-    private void relayed(InFlightRequest request) {
-        request.relaying = null;
-        streams.remove(request);
-    }
 }
--- a/src/test/java/ottergauge/routing/RequestHandlerTest.java
+++ b/src/test/java/ottergauge/routing/RequestHandlerTest.java
@@ -121,6 +121,64 @@
         assertEquals(200, node.status(third));
     }
 
+    private static long copy(RouterDriver node, String requestClass) {
+        long client = node.client();
+        node.handle(
+                new Event.RequestReceived(
+                        client, RouterDriver.clientRequest(requestClass, "same", 1000), 0));
+        return client;
+    }
+
+    /**
+     * Guards against a second execution: a client leaves, its attempt may have run, and another
+     * client sends the same id. No deadline is longer than the time for which the id is remembered.
+     */
+    @ParameterizedTest
+    @CsvSource({"grant,true", "pay,true", "read,false"})
+    void traceIdOfARequestWhoseClientHasLeft_isNotExecutedAgain(
+            String requestClass, boolean rejected) {
+        RouterDriver node = one();
+        long left = copy(node, requestClass);
+        node.written(node.connectNext());
+        node.handle(new Event.ClientClosed(left));
+        long again = copy(node, requestClass);
+        assertEquals(rejected, !node.has(Forward.class) && !node.has(ConnectUpstream.class));
+        if (rejected) {
+            assertEquals(409, node.status(again));
+            node.advanceMs(10_001);
+            copy(node, requestClass);
+            node.connectNext();
+        }
+    }
+
+    /** Guards against a second execution of a request that was answered or failed. */
+    @ParameterizedTest
+    @CsvSource({"grant,200", "grant,500", "pay,500"})
+    void traceIdOfAnExecutedRequest_isNotExecutedAgain(String requestClass, int status) {
+        RouterDriver node =
+                new RouterDriver(new TestConfig().withEndpoints(ONE).withMaxAttempts(1));
+        long first = copy(node, requestClass);
+        Forward forward = node.connectNext();
+        node.written(forward);
+        node.answer(forward, status, false);
+        assertEquals(status == 200 ? 200 : 502, node.status(first));
+        assertEquals(409, node.status(copy(node, requestClass)));
+    }
+
+    /** A request that no server has executed may come again. */
+    @Test
+    void traceIdOfARequestThatNeverRan_isAcceptedAgain() {
+        RouterDriver node =
+                new RouterDriver(new TestConfig().withEndpoints(ONE).withMaxAttempts(1));
+        long first = copy(node, "grant");
+        Forward forward = node.connectNext();
+        node.written(forward);
+        node.answer(forward, 503, true);
+        assertEquals(503, node.status(first));
+        copy(node, "grant");
+        node.expect(Forward.class);
+    }
+
     @ParameterizedTest
     @CsvSource({
         "read,POST,,0",
--- a/src/test/java/ottergauge/routing/StreamingTest.java
+++ b/src/test/java/ottergauge/routing/StreamingTest.java
@@ -153,6 +153,29 @@
         assertEquals(connection, noCancellation.expect(CloseUpstream.class).connection());
     }
 
+    /**
+     * Guards against a second execution of a request whose long response is still being relayed,
+     * for longer than ended requests are remembered.
+     */
+    @Test
+    void traceIdOfARequestWhoseResponseIsRelayed_isNotAcceptedAgain() {
+        long client = startStreamedRequest("grant", 1000);
+        ForwardStream forward = establishConnection();
+        node.handle(new Event.StreamedRequestCompleted(client));
+        node.handle(new Event.RequestWritten(forward.connection()));
+        node.handle(streamedResponseStarted(forward.connection()));
+        node.expect(RelayResponse.class);
+        for (int seconds = 0; seconds < 15; seconds++) {
+            node.handle(new Event.BodyProgress(client, 64_000));
+            node.advanceMs(1_000);
+        }
+        long other = node.client();
+        node.handle(
+                new Event.RequestReceived(
+                        other, RouterDriver.clientRequest("grant", "flow-" + lastId, 1000), 0));
+        assertEquals(409, node.status(other));
+    }
+
     /**
      * The timeout of a streamed request starts at its last byte. If it started at the first byte,
      * every slow upload would time out.
