The processes of a node share the trace ids of their requests

Cause: InFlightRequests knows the ids of its own process alone.

Change: each process writes the hashes of its trace ids, in flight or remembered, to a mapped file of its own in the hot-restart directory and then looks for them in the others' files. Since each writes before it looks, at least one of two sees the other. A copy gets 409 before a byte is sent. Ids of an ended process are remembered for 10 s, as within one process. A process beside another one listens only after two sync periods.

--- a/src/main/java/ottergauge/routing/Effect.java
+++ b/src/main/java/ottergauge/routing/Effect.java
@@ -86,6 +86,17 @@
     /** Removes a server's stored maintenance. */
     record ClearMaintenance(String server) implements Effect {}
 
+    /**
+     * Makes a request's trace id known to the node's other processes. If one of them has the same
+     * id, {@link Event.TraceIdTaken} follows before the request is sent.
+     *
+     * @param request the id that the decision module knows the request by
+     */
+    record ClaimTraceId(String request, long traceIdHash) implements Effect {}
+
+    /** Withdraws a trace id that was made known to the node's other processes. */
+    record ReleaseTraceId(long traceIdHash) implements Effect {}
+
     /** Caches the list of endpoints for the node's next process. */
     record CacheEndpoints(EndpointList list) implements Effect {}
 
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -153,6 +153,12 @@
     /** A timer of {@link Effect.StartTimer} has expired. */
     record TimerFired(Timer timer) implements Event {}
 
+    /**
+     * Another process of this node has the trace id of a request that was accepted here; see {@link
+     * Effect.ClaimTraceId}.
+     */
+    record TraceIdTaken(String request) implements Event {}
+
     /**
      * Whether another process of this node runs beside this one during a hot restart, and how many
      * connections it has open.
--- a/src/main/java/ottergauge/routing/InFlightRequests.java
+++ b/src/main/java/ottergauge/routing/InFlightRequests.java
@@ -7,7 +7,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import ottergauge.decision.api.RequestClass;
+import ottergauge.routing.Effect.ClaimTraceId;
+import ottergauge.routing.Effect.ReleaseTraceId;
 import ottergauge.routing.Event.ClientRequest;
 
 /**
@@ -27,8 +30,16 @@
     /** Until when the hashes of trace ids are remembered, in the order of their expiry. */
     private final Map<Long, Long> remembered = new LinkedHashMap<>();
 
+    private final boolean shared;
+    private final Consumer<Effect> effects;
     private long lastId;
 
+    /** {@code shared} is whether the node may have other processes, which must know the ids. */
+    InFlightRequests(boolean shared, Consumer<Effect> effects) {
+        this.shared = shared;
+        this.effects = effects;
+    }
+
     /**
      * Whether a request with this trace id is in flight, or has ended recently and must not be
      * executed again.
@@ -56,7 +67,11 @@
                         timeout,
                         streamed);
         byId.put(request.id, request);
-        byTraceId.put(content.fields().traceId(), request);
+        String traceId = content.fields().traceId();
+        byTraceId.put(traceId, request);
+        if (shared) {
+            effects.accept(new ClaimTraceId(request.id, TraceIdHash.of(traceId)));
+        }
         return request;
     }
 
@@ -88,6 +103,14 @@
         byTraceId.remove(traceId);
         if (request.mayHaveRun && !mayRunAgain(request)) {
             remember(now, TraceIdHash.of(traceId));
+        } else {
+            release(TraceIdHash.of(traceId));
+        }
+    }
+
+    private void release(long hash) {
+        if (shared) {
+            effects.accept(new ReleaseTraceId(hash));
         }
     }
 
@@ -105,16 +128,21 @@
         remembered.put(hash, now + REMEMBERED_MICROS);
         if (remembered.size() > MAX_REMEMBERED) {
             Iterator<Long> oldest = remembered.keySet().iterator();
-            oldest.next();
+            release(oldest.next());
             oldest.remove();
         }
     }
 
     /** Forgets the trace ids that have been remembered for long enough. */
     void forgetExpired(long now) {
-        Iterator<Long> expiries = remembered.values().iterator();
-        while (expiries.hasNext() && expiries.next() <= now) {
-            expiries.remove();
+        Iterator<Map.Entry<Long, Long>> oldest = remembered.entrySet().iterator();
+        while (oldest.hasNext()) {
+            Map.Entry<Long, Long> entry = oldest.next();
+            if (entry.getValue() > now) {
+                return;
+            }
+            release(entry.getKey());
+            oldest.remove();
         }
     }
 }
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -181,6 +181,20 @@
         clients.reject(now, event.client(), event.status(), event.reason());
     }
 
+    /** Another process of the node has the trace id of a request, which must not run twice. */
+    void traceIdTaken(long now, String id) {
+        InFlightRequest request = requests.get(id);
+        if (request == null || request.finished) {
+            return;
+        }
+        countAccepted(request);
+        metrics.failed(request.requestClass);
+        decisionEvents.accept(new ClientDisconnected(id));
+        finish(now, request);
+        String traceId = request.content.fields().traceId();
+        clients.reject(now, request.client, CONFLICT, duplicateOf(traceId));
+    }
+
     /** The server of a streamed request accepts no more of it for now, or accepts it again. */
     void bodyFlowChanged(long now, long client, boolean blocked) {
         clients.bodyFlowChanged(now, client, blocked)
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -83,7 +83,7 @@
                 new EffectiveEndpoints(
                         config, upstreams, decisionEvents::add, this::endAsNotSent, effects);
         settings = new EffectiveSettings(config, endpoints, upstreams, metrics);
-        InFlightRequests inFlight = new InFlightRequests();
+        InFlightRequests inFlight = new InFlightRequests(config.admin().isPresent(), effects);
         StreamBudget streams = new StreamBudget(config.memoryMb(), ioMemoryBytes, sockets);
         attempts =
                 new Attempts(
@@ -178,6 +178,8 @@
             clients.respond(now, e.client(), status, 0, Content.NONE, false);
         } else if (event instanceof Event.InvalidRequest e) {
             requests.invalidReceived(now, e);
+        } else if (event instanceof Event.TraceIdTaken e) {
+            requests.traceIdTaken(now, e.request());
         } else {
             return false;
         }
--- a/src/main/java/ottergauge/transport/EffectPerformer.java
+++ b/src/main/java/ottergauge/transport/EffectPerformer.java
@@ -80,6 +80,10 @@
             discovery.cancel(e);
         } else if (effect instanceof Effect.ReportInvalidRequest e) {
             clients.log(e);
+        } else if (effect instanceof Effect.ClaimTraceId e) {
+            claimTraceId(e);
+        } else if (effect instanceof Effect.ReleaseTraceId e) {
+            hotRestart.ifPresent(shared -> shared.traceIds().release(e.traceIdHash()));
         } else if (effect instanceof Effect.AcceptUpTo e) {
             limiter.setLimit(e.connections());
         } else {
@@ -109,6 +113,12 @@
         }
     }
 
+    private void claimTraceId(Effect.ClaimTraceId effect) {
+        if (hotRestart.isPresent() && !hotRestart.get().traceIds().claim(effect.traceIdHash())) {
+            events.take(new Event.TraceIdTaken(effect.request()));
+        }
+    }
+
     private void performAdministration(Effect effect) {
         if (effect instanceof Effect.RespondToAdmin e) {
             admin.respond(e);
--- a/src/main/java/ottergauge/transport/HotRestartProcesses.java
+++ b/src/main/java/ottergauge/transport/HotRestartProcesses.java
@@ -11,6 +11,8 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.Set;
+import java.util.TreeSet;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,8 +31,12 @@
     private static final String PART_PREFIX = "new-";
     private static final int STATUS_BYTES = 1 + Integer.BYTES;
 
-    /** Whether other processes are alive and serve clients, and the sum of their connections. */
-    record OtherProcesses(boolean alive, boolean serving, int connections) {}
+    /** The other processes that are alive, whether one serves, and the sum of their connections. */
+    record OtherProcesses(Set<String> names, boolean serving, int connections) {
+        boolean alive() {
+            return !names.isEmpty();
+        }
+    }
 
     private final Path directory;
     private final Path ownFile;
@@ -77,7 +83,7 @@
      * have ended.
      */
     OtherProcesses others() {
-        boolean alive = false;
+        Set<String> names = new TreeSet<>();
         boolean serving = false;
         int connections = 0;
         try (DirectoryStream<Path> files = Files.newDirectoryStream(directory, FILE_PREFIX + "*")) {
@@ -85,7 +91,7 @@
                 if (file.getFileName().equals(ownFile.getFileName()) || !isAlive(file)) {
                     continue;
                 }
-                alive = true;
+                names.add(nameOf(file));
                 ByteBuffer status = ByteBuffer.wrap(Files.readAllBytes(file));
                 if (status.remaining() >= STATUS_BYTES) {
                     serving |= status.get() == 1;
@@ -95,16 +101,26 @@
         } catch (IOException e) {
             LOG.warn("the node's other processes cannot be read: {}", e.toString());
         }
-        return new OtherProcesses(alive, serving, connections);
+        return new OtherProcesses(names, serving, connections);
+    }
+
+    /** The name of this process among the node's processes. */
+    String ownName() {
+        return nameOf(ownFile);
+    }
+
+    private static String nameOf(Path file) {
+        return file.getFileName().toString().substring(FILE_PREFIX.length());
     }
 
-    private static boolean isAlive(Path file) throws IOException {
+    private boolean isAlive(Path file) throws IOException {
         try (FileChannel other = FileChannel.open(file, StandardOpenOption.WRITE);
                 FileLock free = other.tryLock()) {
             if (free == null) {
                 return true;
             }
             Files.deleteIfExists(file);
+            SharedTraceIds.delete(directory, nameOf(file));
             return false;
         } catch (NoSuchFileException e) {
             return false;
--- a/src/main/java/ottergauge/transport/NodeServer.java
+++ b/src/main/java/ottergauge/transport/NodeServer.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import ottergauge.protocol.Address;
@@ -34,10 +35,12 @@
      */
     private static final long HOT_RESTART_SYNC_PERIOD_MS = 100;
 
+    private static final long VISIBLE_AFTER_MS = 2 * HOT_RESTART_SYNC_PERIOD_MS;
     private static final String SERVER_SIDE = "server";
 
     private final NodeConfig config;
     private final Clock clock = new Clock();
+    private final long createdAt;
     private final EventLoopMonitor monitor = new EventLoopMonitor(System::nanoTime);
     private final ConnectionLimiter limiter = new ConnectionLimiter(monitor);
     private final Vertx vertx;
@@ -66,6 +69,7 @@
                         ? Optional.empty()
                         : hotRestartDirectory.flatMap(each -> open(each, config.maxListBytes()));
         this.config = hotRestart.map(shared -> shared.withCachedList(config)).orElse(config);
+        createdAt = System.nanoTime();
         vertx = SingleLoopTransport.vertx(monitor);
         context = (ContextInternal) vertx.getOrCreateContext();
         client = vertx.createNetClient();
@@ -129,8 +133,9 @@
         return config.admin()
                 .map(this::listenForAdmins)
                 .orElseGet(() -> Future.succeededFuture(0))
+                .compose(warm -> untilOtherProcessSeesThis())
                 .compose(
-                        warm ->
+                        seen ->
                                 clients.listen(
                                         context.nettyEventLoop(), config.listen(), shared, limiter))
                 .onSuccess(this::onListening)
@@ -143,6 +148,18 @@
                 .mapEmpty();
     }
 
+    // The other process must know this one before this one serves: it looks for trace ids in the
+    // files of the processes that it has seen.
+    private Future<Void> untilOtherProcessSeesThis() {
+        long passedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - createdAt);
+        if (!otherProcessAlive || passedMs >= VISIBLE_AFTER_MS) {
+            return Future.succeededFuture();
+        }
+        Promise<Void> visible = Promise.promise();
+        schedule(VISIBLE_AFTER_MS - passedMs, visible::complete);
+        return visible.future();
+    }
+
     private Future<Integer> listenForAdmins(Address address) {
         return admin.listen(address)
                 .compose(
@@ -187,7 +204,7 @@
         HotRestartDirectory shared = hotRestart.get();
         events.take(new Event.MaintenanceLoaded(shared.maintenance().read()));
         shared.processes().publish(serving, router.connections());
-        HotRestartProcesses.OtherProcesses others = shared.processes().others();
+        HotRestartProcesses.OtherProcesses others = shared.others();
         if (others.alive() != otherProcessAlive) {
             otherProcessAlive = others.alive();
             LOG.info(
@@ -279,7 +296,7 @@
 
     private void exit() {
         LOG.info("{} stopped: all pending requests responded to", config.name());
-        hotRestart.ifPresent(shared -> shared.processes().unregister());
+        hotRestart.ifPresent(shared -> shared.unregister());
         if (listener != null) {
             listener.close();
         }
--- a/src/test/java/ottergauge/transport/HotRestartFilesTest.java
+++ b/src/test/java/ottergauge/transport/HotRestartFilesTest.java
@@ -16,6 +16,7 @@
 import java.nio.file.StandardOpenOption;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -130,7 +131,7 @@
     @Test
     void processFileWithoutLock_isDeletedAsLeftover() throws IOException {
         HotRestartProcesses.OtherProcesses others = new HotRestartProcesses(folder).others();
-        assertEquals(new HotRestartProcesses.OtherProcesses(false, false, 0), others);
+        assertEquals(new HotRestartProcesses.OtherProcesses(Set.of(), false, 0), others);
         assertFalse(Files.exists(folder.resolve(PROCESS)));
     }
 
@@ -149,7 +150,7 @@
         try (InputStream output = other.getInputStream()) {
             assertEquals(LockHolder.LOCKED, output.read());
             assertEquals(
-                    new HotRestartProcesses.OtherProcesses(true, true, 258),
+                    new HotRestartProcesses.OtherProcesses(Set.of("10494"), true, 258),
                     new HotRestartProcesses(folder).others());
         } finally {
             other.destroyForcibly().waitFor();
