A head has at most 100 fields, so that unfinished ones take little memory

Cause: a head is limited to 8 KiB of bytes, but a field of five bytes takes some 150 bytes of heap once it is parsed. 650 unfinished heads fill the heap of 96 MB, and the collector takes the core.

Change: a head and a trailer section have at most 100 fields. The next one is answered with 431 before the head is complete. Responses are limited in the same way.

--- a/src/main/java/ottergauge/transport/HttpFraming.java
+++ b/src/main/java/ottergauge/transport/HttpFraming.java
@@ -3,6 +3,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -27,7 +28,12 @@
     private static final int MAX_PART_BYTES = 64 * 1024;
 
     private static final HttpDecoderConfig CONFIG =
-            new HttpDecoderConfig().setMaxChunkSize(MAX_PART_BYTES);
+            new HttpDecoderConfig()
+                    .setMaxChunkSize(MAX_PART_BYTES)
+                    .setHeadersFactory(
+                            LimitedHeaders.factory(DefaultHttpHeadersFactory.headersFactory()))
+                    .setTrailersFactory(
+                            LimitedHeaders.factory(DefaultHttpHeadersFactory.trailersFactory()));
 
     private HttpFraming() {}
 
