A head that stops between two lines no longer counts as idle

Callers saw: a client that stopped after a complete header line of its second request was closed after 5 s as idle. It is owed an error or a close within 3 s.

Cause: the start of a head was recognized by bytes that the decoder had left over. The decoder keeps nothing of complete lines.

Change: a head has started when a byte has come since the previous request. The connection then has the timeout of a head and is no longer closed first, as idle, when descriptors run short.

--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -99,6 +99,7 @@
     private boolean clientCloses;
     private boolean closingGracefully;
     private boolean headStartReported;
+    private long bytesOfEarlierRequests;
     private long unreportedBytes;
     private long progressReportedAt;
 
@@ -284,8 +285,9 @@
         }
     }
 
+    // The decoder keeps no bytes of the header lines that are complete.
     private void reportHeadStart() {
-        if (!headStartReported && decoder.hasMoreBytes()) {
+        if (!headStartReported && decoder.receivedBytes() > bytesOfEarlierRequests) {
             headStartReported = true;
             events.accept(new RequestHeadStarted(number));
         }
@@ -352,6 +354,7 @@
     private void awaitNextRequest(boolean closes) {
         stage = closes ? Stage.ENDING : Stage.AWAITING_HEAD;
         headStartReported = false;
+        bytesOfEarlierRequests = decoder.receivedBytes();
     }
 
     private void onResponseWritten(boolean closes, boolean success) {
--- a/src/test/java/ottergauge/program/SlowPeersIT.java
+++ b/src/test/java/ottergauge/program/SlowPeersIT.java
@@ -252,6 +252,24 @@
         }
     }
 
+    /**
+     * Guards against a client that stops between two header lines of its second request and counts
+     * as idle: it is owed an error or a close within 3 s.
+     */
+    @Test
+    void headThatStopsAfterACompleteLineIsClosedInTime() throws Exception {
+        RunningNode node = nodeInFrontOf(ECHO);
+        try (Client client = node.client()) {
+            assertEquals(200, client.exchange(Client.request("grant", "ok", "x")).status());
+            long from = System.nanoTime();
+            client.write("POST /api HTTP/1.1\r\nHost: x\r\n");
+            assertTrue(client.atEnd());
+            assertTrue(
+                    System.nanoTime() - from < TimeUnit.SECONDS.toNanos(3),
+                    "within 3 s of the last byte");
+        }
+    }
+
     /**
      * The deadline of 0.9 s counts from the last byte of the request: a request whose body takes
      * over two seconds is served.
