Unfinished requests give way when descriptors run short

Cause: above its share of descriptors for clients the node closed the longest idle connection. With all others in the middle of a request, that was the new one itself.

Change: a new client displaces a connection that has been idle for over 250 ms, then the one whose request has been arriving for longest without being accepted, then one that has just become idle. A complete request that needs a connection to a server displaces an unfinished one too.

The new test of ConnectionLimitsTest failed before.

--- a/src/main/java/ottergauge/routing/DownstreamConnections.java
+++ b/src/main/java/ottergauge/routing/DownstreamConnections.java
@@ -2,6 +2,7 @@
 package ottergauge.routing;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -72,6 +73,11 @@
             return stage == Stage.READING_REQUEST && request != null && request.bodyBlocked;
         }
 
+        /** Whether its request is arriving and has not been accepted. */
+        boolean isUnfinished() {
+            return stage == Stage.READING_REQUEST && request == null;
+        }
+
         /** Whether the client's own progress decides when it is closed. */
         boolean awaitsClient() {
             return stage != Stage.AWAITING_RESPONSE && !isBodyBlocked();
@@ -290,7 +296,7 @@
     void rejectIncomplete(long now, int status, long retryAfterMicros) {
         for (Map.Entry<Long, Connection> entry : new ArrayList<>(connections.entrySet())) {
             Connection connection = entry.getValue();
-            if (connection.stage == Stage.READING_REQUEST && connection.request == null) {
+            if (connection.isUnfinished()) {
                 respond(now, entry.getKey(), status, retryAfterMicros, Content.NONE, true);
             }
         }
@@ -364,6 +370,34 @@
         return connection.reused ? CloseReason.IDLE : CloseReason.SILENT;
     }
 
+    /** Closes the connection that has been idle for longest, but not this one; false if none. */
+    boolean closeLongestIdleExcept(long client) {
+        Optional<Long> oldest = idle.keySet().stream().filter(each -> each != client).findFirst();
+        oldest.ifPresent(each -> close(each, CloseReason.SOCKETS_SHORT));
+        return oldest.isPresent();
+    }
+
+    /**
+     * Closes the connection whose request has been arriving for longest without being accepted;
+     * false if there is none.
+     */
+    boolean closeLongestUnfinished() {
+        Optional<Long> oldest =
+                connections.entrySet().stream()
+                        .filter(entry -> entry.getValue().isUnfinished())
+                        .min(Comparator.comparingLong(entry -> entry.getValue().since))
+                        .map(Map.Entry::getKey);
+        oldest.ifPresent(each -> close(each, CloseReason.SOCKETS_SHORT));
+        return oldest.isPresent();
+    }
+
+    /** Closes a connection if it is idle. */
+    void closeIdle(long client, CloseReason reason) {
+        if (idle.containsKey(client)) {
+            close(client, reason);
+        }
+    }
+
     /**
      * Closes the connection that has been idle for longest.
      *
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -170,7 +170,7 @@
             clients.responseWritten(now, e.client());
         } else if (event instanceof Event.ClientConnected e) {
             clients.connected(now, e.client());
-            sockets.clientConnected(now);
+            sockets.clientConnected(now, e.client());
         } else if (event instanceof Event.ClientClosed e) {
             requests.clientClosed(now, e.client());
         } else if (event instanceof Event.HealthRequested e) {
--- a/src/main/java/ottergauge/routing/SocketBudget.java
+++ b/src/main/java/ottergauge/routing/SocketBudget.java
@@ -75,19 +75,30 @@
         return Math.max(1, (int) (maxSockets * MAX_CLIENT_RATIO));
     }
 
-    /** Closes idle connections if the client that has just connected exceeds a limit. */
-    void clientConnected(long now) {
+    /**
+     * Closes connections if the client that has just connected exceeds a limit: idle ones, then
+     * those that have been sending a request for longest, since most clients need only a moment for
+     * that, and then those that have just become idle and may have a request on its way. If there
+     * are none, the new client is closed.
+     */
+    void clientConnected(long now, long client) {
         boolean closed = true;
         while (clients.openCount() > maxClients() && closed) {
-            closed = clients.closeLongestIdle(now, true);
+            closed =
+                    clients.closeLongestIdle(now, false)
+                            || clients.closeLongestUnfinished()
+                            || clients.closeLongestIdleExcept(client);
+        }
+        if (clients.openCount() > maxClients()) {
+            clients.closeIdle(client, CloseReason.SOCKETS_SHORT);
         }
         reserve(now, 0);
     }
 
     /**
-     * Makes sockets available by closing idle connections, so that a request is rejected only if
-     * none is left. Idle connections of clients are closed first, since a new connection to a
-     * server costs more.
+     * Makes sockets available by closing connections, so that a complete request is rejected only
+     * if all others carry one too. Idle connections of clients are closed first, since a new
+     * connection to a server costs more, and those with unfinished requests last.
      *
      * @return whether this number of further connections may be opened
      */
@@ -95,7 +106,8 @@
         while (clients.openCount() + upstreams.openCount() + connections > maxSockets) {
             if (!clients.closeLongestIdle(now, false)
                     && !upstreams.closeLongestIdle()
-                    && !clients.closeLongestIdle(now, true)) {
+                    && !clients.closeLongestIdle(now, true)
+                    && !clients.closeLongestUnfinished()) {
                 return false;
             }
         }
--- a/src/test/java/ottergauge/routing/ConnectionLimitsTest.java
+++ b/src/test/java/ottergauge/routing/ConnectionLimitsTest.java
@@ -134,6 +134,35 @@
         assertEquals(new CloseClient(1, CloseReason.SOCKETS_SHORT), node.expect(CloseClient.class));
     }
 
+    /**
+     * Guards against a crowd of clients that stop in the middle of a request: new clients would be
+     * closed at once, and complete requests rejected for want of a connection to a server.
+     */
+    @Test
+    void unfinishedRequests_giveWayToNewClientsAndCompleteRequests() {
+        RouterDriver node = new RouterDriver(new TestConfig().withEndpoints(ONE).sockets(64 + 30));
+        for (int i = 0; i < 20; i++) {
+            long slow = node.client();
+            if (i % 2 == 0) {
+                node.handle(new Event.RequestHeadStarted(slow));
+            } else {
+                node.handle(new Event.RequestHeadReceived(slow));
+            }
+            node.advanceMs(1);
+        }
+        node.expectNo(CloseClient.class);
+        long other = node.request("read");
+        assertEquals(new CloseClient(1, CloseReason.SOCKETS_SHORT), node.expect(CloseClient.class));
+        node.serve(node.connectNext());
+        assertEquals(200, node.status(other));
+        node.handle(new Event.Reconfigured(new TestConfig().sockets(64 + 15).build()));
+        node.request(other, "pay", 1000);
+        node.expect(Forward.class);
+        node.request("grant");
+        assertEquals(new CloseClient(2, CloseReason.SOCKETS_SHORT), node.expect(CloseClient.class));
+        node.connectNext();
+    }
+
     @Test
     void noSocketAvailable_rejectsTheRequest() {
         RouterDriver node =
