--- a/src/main/java/ottergauge/routing/DownstreamConnections.java
+++ b/src/main/java/ottergauge/routing/DownstreamConnections.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import ottergauge.protocol.Content;
 import ottergauge.routing.Effect.CloseClient;
 import ottergauge.routing.Effect.RelayResponse;
@@ -63,6 +64,9 @@
 
         long bodyBytes;
 
+        /** The size of the buffer for the body of the request that it carries. */
+        long bufferBytes;
+
         /** When the node stopped reading the body of the request that it carries. */
         long blockedSince;
 
@@ -94,11 +98,17 @@
     private int reportsInWindow;
     private int suppressedReports;
     private boolean closesAfterResponses;
+    private BufferBudget bufferBudget;
 
     DownstreamConnections(Consumer<Effect> effects) {
         this.effects = effects;
     }
 
+    /** Sets the budget of the buffers, before the first client connects. */
+    void setBufferBudget(BufferBudget budget) {
+        bufferBudget = budget;
+    }
+
     int openCount() {
         return connections.size();
     }
@@ -167,10 +177,38 @@
         }
     }
 
+    /**
+     * The buffer for the body of a client's request has grown to this size. If all buffers together
+     * exceed their budget, the requests that have been arriving for longest are answered with this
+     * status, until they don't.
+     */
+    void bodyBufferGrown(long now, long client, long bytes, int status, long retryAfterMicros) {
+        Connection connection = connections.get(client);
+        if (connection == null) {
+            return;
+        }
+        setBuffer(connection, bytes);
+        while (bufferBudget.isExceeded()) {
+            Optional<Long> oldest = longestUnfinished(each -> each.bufferBytes > 0);
+            if (oldest.isEmpty()) {
+                return;
+            }
+            respond(now, oldest.get(), status, retryAfterMicros, Content.NONE, true);
+        }
+    }
+
+    private void setBuffer(Connection connection, long bytes) {
+        bufferBudget.add(bytes - connection.bufferBytes);
+        connection.bufferBytes = bytes;
+    }
+
     /** A client's request is accepted; a streamed one continues to be read. */
     void accepted(InFlightRequest request) {
         Connection connection = connections.get(request.client);
         if (connection != null) {
+            if (request.streamed) {
+                setBuffer(connection, 0);
+            }
             setBusy(
                     request.client,
                     connection,
@@ -225,6 +263,7 @@
             return false;
         }
         setBusy(client, connection, Stage.WRITING_RESPONSE);
+        setBuffer(connection, 0);
         connection.reused = true;
         connection.closeAt = now + STREAM_STALL_TIMEOUT_MICROS;
         effects.accept(new RelayResponse(client, upstream, closesAfterResponses));
@@ -280,6 +319,7 @@
         boolean incomplete =
                 connection.stage == Stage.READING_REQUEST && connection.request != null;
         setBusy(client, connection, Stage.WRITING_RESPONSE);
+        setBuffer(connection, 0);
         connection.request = null;
         connection.reused = true;
         connection.closeAt = now + BODY_STALL_TIMEOUT_MICROS;
@@ -327,9 +367,7 @@
 
     /** A connection has ended; returns its unanswered request, if any. */
     Optional<InFlightRequest> closed(long client) {
-        idle.remove(client);
-        Connection connection = connections.remove(client);
-        return connection == null ? Optional.empty() : Optional.ofNullable(connection.request);
+        return remove(client).map(connection -> connection.request);
     }
 
     /** Makes every connection close after its next response from now on. */
@@ -382,15 +420,19 @@
      * false if there is none.
      */
     boolean closeLongestUnfinished() {
-        Optional<Long> oldest =
-                connections.entrySet().stream()
-                        .filter(entry -> entry.getValue().isUnfinished())
-                        .min(Comparator.comparingLong(entry -> entry.getValue().since))
-                        .map(Map.Entry::getKey);
+        Optional<Long> oldest = longestUnfinished(any -> true);
         oldest.ifPresent(each -> close(each, CloseReason.SOCKETS_SHORT));
         return oldest.isPresent();
     }
 
+    private Optional<Long> longestUnfinished(Predicate<Connection> condition) {
+        return connections.entrySet().stream()
+                .filter(entry -> entry.getValue().isUnfinished())
+                .filter(entry -> condition.test(entry.getValue()))
+                .min(Comparator.comparingLong(entry -> entry.getValue().since))
+                .map(Map.Entry::getKey);
+    }
+
     /** Closes a connection if it is idle. */
     void closeIdle(long client, CloseReason reason) {
         if (idle.containsKey(client)) {
@@ -417,9 +459,15 @@
         return true;
     }
 
-    private void close(long client, CloseReason reason) {
+    private Optional<Connection> remove(long client) {
         idle.remove(client);
-        connections.remove(client);
+        Optional<Connection> removed = Optional.ofNullable(connections.remove(client));
+        removed.ifPresent(connection -> setBuffer(connection, 0));
+        return removed;
+    }
+
+    private void close(long client, CloseReason reason) {
+        remove(client);
         effects.accept(new CloseClient(client, reason));
     }
 }
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -49,6 +49,12 @@
     /** Bytes of a body have been read from a client or written to it since the last such event. */
     record BodyProgress(long client, long bytes) implements Event {}
 
+    /**
+     * The buffer for the body of a client's request has grown to this size. Small buffers are not
+     * reported.
+     */
+    record BodyBufferGrown(long client, long bytes) implements Event {}
+
     /**
      * A request is too large to be buffered. Its content is the first part of the body; the rest is
      * streamed.
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -195,6 +195,11 @@
         clients.reject(now, request.client, CONFLICT, duplicateOf(traceId));
     }
 
+    /** The buffer for the body of a client's request has grown to this size. */
+    void bodyBufferGrown(long now, long client, long bytes) {
+        clients.bodyBufferGrown(now, client, bytes, UNAVAILABLE, maxRetryAfter());
+    }
+
     /** The server of a streamed request accepts no more of it for now, or accepts it again. */
     void bodyFlowChanged(long now, long client, boolean blocked) {
         clients.bodyFlowChanged(now, client, blocked)
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -78,6 +78,7 @@
         upstreams =
                 new UpstreamPool(initial.connectTimeout(), initial.serverIdleTimeout(), effects);
         sockets = new SocketBudget(config.admin().isPresent(), clients, upstreams, effects);
+        clients.setBufferBudget(new BufferBudget(config.memoryMb(), sockets));
         shutdown = new Shutdown(clients, effects);
         endpoints =
                 new EffectiveEndpoints(
@@ -160,6 +161,8 @@
             clients.headStarted(now, e.client());
         } else if (event instanceof Event.BodyProgress e) {
             clients.bodyProgress(now, e.client(), e.bytes());
+        } else if (event instanceof Event.BodyBufferGrown e) {
+            requests.bodyBufferGrown(now, e.client(), e.bytes());
         } else if (event instanceof Event.StreamedRequestStarted e) {
             requests.received(now, e.client(), e.request(), 0, true);
         } else if (event instanceof Event.RequestBodyFlowChanged e) {
--- a/src/main/java/ottergauge/transport/BodyBuffer.java
+++ b/src/main/java/ottergauge/transport/BodyBuffer.java
@@ -38,6 +38,11 @@
         return true;
     }
 
+    /** How many bytes of memory it takes. */
+    int capacity() {
+        return bytes.length;
+    }
+
     /** Returns the body; the array may be the buffer's own. */
     byte[] bytes() {
         return bytes.length == length ? bytes : Arrays.copyOf(bytes, length);
--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -20,6 +20,7 @@
 import ottergauge.routing.CloseReason;
 import ottergauge.routing.Effect.Respond;
 import ottergauge.routing.Event;
+import ottergauge.routing.Event.BodyBufferGrown;
 import ottergauge.routing.Event.BodyProgress;
 import ottergauge.routing.Event.ClientClosed;
 import ottergauge.routing.Event.ClientRequest;
@@ -54,6 +55,9 @@
         ENDING
     }
 
+    /** Smaller buffers take little memory, even one for each connection. */
+    private static final int MIN_REPORTED_BUFFER_BYTES = 4 * 1024;
+
     private static final long PROGRESS_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     /**
@@ -88,6 +92,7 @@
     private RequestFields fields;
 
     private BodyBuffer body;
+    private int reportedBufferBytes;
 
     /**
      * The body of a streamed request. Null once the body has arrived completely and is being
@@ -161,6 +166,7 @@
         stage = Stage.BUFFERING_BODY;
         unreportedBytes = 0;
         body = new BodyBuffer(BodyLimits.MAX_BUFFERED_BYTES);
+        reportedBufferBytes = 0;
         events.accept(new RequestHeadReceived(number));
     }
 
@@ -173,10 +179,25 @@
             } else {
                 beginStream(content);
             }
-        } else if (content instanceof LastHttpContent) {
-            stage = Stage.RECEIVED;
         } else {
-            onProgress(content.content().readableBytes());
+            reportBuffer();
+            if (stage != Stage.BUFFERING_BODY) {
+                return;
+            }
+            if (content instanceof LastHttpContent) {
+                stage = Stage.RECEIVED;
+            } else {
+                onProgress(content.content().readableBytes());
+            }
+        }
+    }
+
+    // The router may respond at once, if all buffers together are too large.
+    private void reportBuffer() {
+        int bytes = body.capacity();
+        if (bytes >= MIN_REPORTED_BUFFER_BYTES && bytes != reportedBufferBytes) {
+            reportedBufferBytes = bytes;
+            events.accept(new BodyBufferGrown(number, bytes));
         }
     }
 
@@ -329,12 +350,18 @@
     }
 
     private void reject(HttpResponseStatus status, String reason) {
-        dropStream();
+        dropRequest();
         stage = Stage.ENDING;
         setCloseReason(CloseReason.MALFORMED);
         events.accept(new InvalidRequest(number, status.code(), reason));
     }
 
+    private void dropRequest() {
+        head = null;
+        body = null;
+        dropStream();
+    }
+
     private void dropStream() {
         if (stream != null) {
             stream.drop();
@@ -346,7 +373,7 @@
     void respond(Respond effect) {
         boolean closes = effect.closeAfter() || clientCloses;
         FullHttpResponse response = ClientResponses.complete(effect, closes);
-        dropStream();
+        dropRequest();
         writeAndFlush(response, written -> onResponseWritten(closes, written.isSuccess()));
         awaitNextRequest(closes);
     }
--- a/src/test/java/ottergauge/routing/ConnectionLimitsTest.java
+++ b/src/test/java/ottergauge/routing/ConnectionLimitsTest.java
@@ -2,9 +2,12 @@
 package ottergauge.routing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static ottergauge.protocol.TestConfig.endpointJson;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import ottergauge.protocol.TestConfig;
 import ottergauge.routing.Effect.CloseClient;
 import ottergauge.routing.Effect.CloseUpstream;
@@ -163,6 +166,41 @@
         node.connectNext();
     }
 
+    /**
+     * Guards against a node that runs out of memory for bodies that are not complete: its limit is
+     * 192 MB, an eighth of it is for buffers, and half as much beside another process of the node.
+     */
+    @ParameterizedTest
+    @CsvSource({"false,384", "true,192"})
+    void buffersOverTheirBudget_giveWayInTheOrderOfTheirArrival(boolean shared, int bodies) {
+        RouterDriver node = new RouterDriver(new TestConfig().withEndpoints(ONE));
+        node.handle(new Event.HotRestartPeerSeen(shared, 0));
+        for (int i = 0; i < bodies; i++) {
+            buffering(node, 64 << 10);
+            node.advanceMs(1);
+        }
+        node.expectNo(Respond.class);
+        long small = node.request("grant");
+        node.serve(node.connectNext());
+        assertEquals(200, node.status(small));
+        buffering(node, 64 << 10);
+        Respond rejected = node.expect(Respond.class);
+        assertEquals(1, rejected.client());
+        assertEquals(503, rejected.status());
+        assertTrue(rejected.retryAfterMicros() > 0);
+        assertTrue(rejected.closeAfter());
+        node.handle(new Event.ClientClosed(2));
+        buffering(node, 64 << 10);
+        node.expectNo(Respond.class);
+    }
+
+    private static void buffering(RouterDriver node, long bytes) {
+        long client = node.client();
+        node.handle(new Event.RequestHeadReceived(client));
+        node.handle(new Event.BodyBufferGrown(client, bytes / 2));
+        node.handle(new Event.BodyBufferGrown(client, bytes));
+    }
+
     @Test
     void noSocketAvailable_rejectsTheRequest() {
         RouterDriver node =
