A slow upload's time counts from when its last byte may be written

Cause: the time began when the node read the last byte, which the client may have written long before: the operating systems hold megabytes that the node does not read while the server accepts no more. The timeout of a blocked body began anew each time it flowed. A request that had waited for a server got its full time once its body was read.

Change: UploadBacklog tells since when the last byte may have been written: since the body was first blocked, until it is read for 0.1 s without a stop, or more than 5 MiB were read after that instant. The time of the request, and of its attempt before the last byte, counts from there. Rejected: a clock from Content-Length, which chunked bodies lack.

--- a/src/main/java/ottergauge/routing/Attempts.java
+++ b/src/main/java/ottergauge/routing/Attempts.java
@@ -154,19 +154,25 @@
         }
     }
 
-    // No timeout runs while the client sends the body. If its server does not accept it, the client
-    // may have written the last byte when the node stopped reading, and waits from then on.
+    // No timeout runs while the client sends the body. If its server does not accept it as fast as
+    // it comes, the client may have written the last byte, and waits from then on.
     private void resetStreamingTimeout(long now, Attempt attempt) {
         InFlightRequest request = attempt.request;
         if (request.complete) {
             attempt.dueAt = Math.max(now + 1, request.deadline);
         } else {
-            attempt.dueAt =
-                    request.bodyBlocked ? now + Math.max(1, request.timeout) : Attempt.NO_TIMEOUT;
+            long dueAt = request.backlog.responseDueAt(now, request.timeout);
+            attempt.dueAt = Math.max(now + 1, dueAt);
         }
         startTimeout(now, attempt);
     }
 
+    // The backlog may have been read meanwhile.
+    private static void extendStreamingTimeout(long now, Attempt attempt) {
+        InFlightRequest request = attempt.request;
+        attempt.dueAt = request.backlog.responseDueAt(now, request.timeout);
+    }
+
     /** Ends an attempt that is not sent yet. */
     void withdraw(long now, Attempt attempt) {
         upstreams.abandon(now, attempt, CloseReason.CANCELLED);
@@ -211,6 +217,9 @@
             return;
         }
         attempt.timerAt = Attempt.NO_TIMEOUT;
+        if (now >= attempt.dueAt && attempt.isStreamingRequest() && !attempt.request.complete) {
+            extendStreamingTimeout(now, attempt);
+        }
         if (now < attempt.dueAt) {
             startTimeout(now, attempt);
         } else {
--- a/src/main/java/ottergauge/routing/DownstreamConnections.java
+++ b/src/main/java/ottergauge/routing/DownstreamConnections.java
@@ -165,6 +165,9 @@
         }
         connection.bodyBytes += bytes;
         if (connection.stage == Stage.READING_REQUEST) {
+            if (connection.request != null) {
+                connection.request.backlog.progressed(now, connection.bodyBytes);
+            }
             long atMinRate = connection.bodyBytes * MICROS_PER_SECOND / MIN_BODY_BYTES_PER_SECOND;
             connection.closeAt =
                     Math.min(
@@ -232,7 +235,9 @@
         connection.request.bodyBlocked = blocked;
         if (blocked) {
             connection.blockedSince = now;
+            connection.request.backlog.blocked(now, connection.bodyBytes);
         } else {
+            connection.request.backlog.unblocked(now);
             long blockedFor = now - connection.blockedSince;
             connection.since += blockedFor;
             connection.closeAt += blockedFor;
--- a/src/main/java/ottergauge/routing/InFlightRequest.java
+++ b/src/main/java/ottergauge/routing/InFlightRequest.java
@@ -41,6 +41,9 @@
      */
     boolean bodyBlocked;
 
+    /** What of its body the client may have written and the node has not read. */
+    final UploadBacklog backlog = new UploadBacklog();
+
     /** The attempt whose response is being relayed to the client, or null. */
     Attempt relaying;
 
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -212,7 +212,10 @@
                 .ifPresent(
                         request -> {
                             request.deadline =
-                                    Math.min(shutdown.lastResponseAt(), now + request.timeout);
+                                    Math.min(
+                                            shutdown.lastResponseAt(),
+                                            request.backlog.lastByteNotBefore(now)
+                                                    + request.timeout);
                             countAccepted(request);
                             attempts.bodyFlowChanged(now, request);
                         });
--- a/src/test/java/ottergauge/program/SlowPeersIT.java
+++ b/src/test/java/ottergauge/program/SlowPeersIT.java
@@ -347,4 +347,38 @@
             assertTrue(status == 503 || status == 502, "status: " + status);
         }
     }
+
+    /**
+     * Guards against a response that comes seconds late: the server reads a long body slowly but
+     * steadily, and the client has written all of it long before.
+     */
+    @Test
+    void longBodyThatAServerReadsSlowlyIsRejectedInTime() throws Exception {
+        int length = 16 << 20;
+        int bytesPerStep = 30_000;
+        int stepMs = 10;
+        RunningNode node =
+                nodeInFrontOf(
+                        (head, in, out) -> {
+                            while (in.readNBytes(bytesPerStep).length > 0) {
+                                Thread.sleep(stepMs);
+                            }
+                        });
+        try (Client client = node.client()) {
+            long writtenAt = System.nanoTime();
+            try {
+                write(
+                        client.socket(),
+                        requestWithFields("ok", "Content-Length: " + length + "\r\n"),
+                        bytes(length));
+                writtenAt = System.nanoTime();
+            } catch (IOException e) {
+                // The node has rejected the request before all of it was written.
+            }
+            int status = client.read().status();
+            long waited = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - writtenAt);
+            assertTrue(waited < 900 + 500, "answered after " + waited + " ms");
+            assertTrue(status == 503 || status == 502, "status: " + status);
+        }
+    }
 }
--- a/src/test/java/ottergauge/routing/StreamingTest.java
+++ b/src/test/java/ottergauge/routing/StreamingTest.java
@@ -313,6 +313,71 @@
         node.expectNo(CloseUpstream.class);
     }
 
+    /**
+     * Guards against a response that comes seconds late: a server accepts a body slowly without
+     * ever stopping for long, while the client has written the last byte long ago.
+     */
+    @Test
+    void bodyThatIsNeverCaughtUpWith_isRejectedInTime() {
+        long client = startStreamedRequest("grant", 900);
+        ForwardStream forward = establishConnection();
+        long begin = node.nowMs();
+        while (!node.has(Respond.class) && node.nowMs() < begin + 3_000) {
+            setBlocked(client, true);
+            node.advanceMs(80);
+            setBlocked(client, false);
+            node.handle(new Event.BodyProgress(client, 100_000));
+            node.advanceMs(20);
+        }
+        assertEquals(503, node.status(client));
+        assertTrue(node.nowMs() - begin < 900 + 500, "after " + (node.nowMs() - begin) + " ms");
+        assertEquals(forward.connection(), node.expect(CloseUpstream.class).connection());
+    }
+
+    /**
+     * Guards against a rejection of a long body that a fast server never quite keeps up with: more
+     * is read within the client's time than the operating systems can hold unread.
+     */
+    @Test
+    void bodyOfWhichMoreIsReadThanCanBeHeldUnread_isForwarded() {
+        long client = startStreamedRequest("grant", 900);
+        ForwardStream forward = establishConnection();
+        for (int i = 0; i < 40; i++) {
+            setBlocked(client, true);
+            node.advanceMs(80);
+            setBlocked(client, false);
+            node.handle(new Event.BodyProgress(client, 1_000_000));
+            node.advanceMs(20);
+        }
+        node.expectNo(Respond.class);
+        node.expectNo(CloseUpstream.class);
+        node.handle(new Event.StreamedRequestCompleted(client));
+        node.handle(new Event.RequestWritten(forward.connection()));
+        node.advanceMs(200);
+        node.expectNo(Respond.class);
+        node.advanceMs(700);
+        assertEquals(502, node.status(client));
+    }
+
+    /**
+     * Guards against a response that comes late by the time for which its request waited: the
+     * client may have written all of the body when the node stopped reading it.
+     */
+    @Test
+    void bodyThatIsReadToItsEndAfterAWait_hasTheTimeSinceTheWaitBegan() {
+        long client = startStreamedRequest("grant", 900);
+        setBlocked(client, true);
+        node.advanceMs(150);
+        ForwardStream forward = establishConnection();
+        setBlocked(client, false);
+        node.handle(new Event.StreamedRequestCompleted(client));
+        node.handle(new Event.RequestWritten(forward.connection()));
+        node.advanceMs(749);
+        node.expectNo(Respond.class);
+        node.advanceMs(2);
+        assertEquals(502, node.status(client));
+    }
+
     /**
      * A client may pause for two seconds while it is read; the time in which it is not read is
      * extra.
