Log how far an exchange had come when its connection ends, and failed requests

Change: these fields follow the code if a request is open on the connection; a request that is answered 502 has a line with its attempts and the last result, five a second at most; three metrics count the responses that are relayed as they arrive. Wire, settings and the names of existing metrics are as they were; the limit of log lines that invalid requests had is a class of its own now.

--- a/src/main/java/ottergauge/routing/Attempts.java
+++ b/src/main/java/ottergauge/routing/Attempts.java
@@ -294,6 +294,7 @@
         }
         InFlightRequest request = attempt.request;
         request.outstanding.remove(attempt);
+        request.lastResult = result;
         request.mayHaveRun |= attempt.sendCompleted && !result.neverRan();
         decisionEvents.accept(
                 new AttemptEnded(
--- a/src/main/java/ottergauge/routing/DownstreamConnections.java
+++ b/src/main/java/ottergauge/routing/DownstreamConnections.java
@@ -36,8 +36,6 @@
     private static final long IDLE_TIMEOUT_MICROS = 5_000_000;
     // A connection that has been idle for less than this may have a request on its way.
     private static final long RECENT_MICROS = 250_000;
-    // Bounds how fast a client that sends invalid requests fills the log.
-    private static final int MAX_REPORTS_PER_SECOND = 5;
     private static final long MICROS_PER_SECOND = 1_000_000;
 
     private enum Stage {
@@ -94,9 +92,8 @@
     /** In the order in which they became idle. */
     private final Map<Long, Connection> idle = new LinkedHashMap<>();
 
-    private long reportWindowStart;
-    private int reportsInWindow;
-    private int suppressedReports;
+    // A client that sends invalid requests must not fill the log.
+    private final ReportLimit invalidReports = new ReportLimit();
     private boolean closesAfterResponses;
     private BufferBudget bufferBudget;
 
@@ -349,16 +346,13 @@
 
     /** Answers an invalid request, reports it, and closes the connection after the response. */
     void reject(long now, long client, int status, String reason) {
-        if (now - reportWindowStart >= MICROS_PER_SECOND) {
-            reportWindowStart = now;
-            reportsInWindow = 0;
-        }
-        if (reportsInWindow++ < MAX_REPORTS_PER_SECOND) {
-            effects.accept(new ReportInvalidRequest(client, status, reason, suppressedReports));
-            suppressedReports = 0;
-        } else {
-            suppressedReports++;
-        }
+        invalidReports
+                .admit(now)
+                .ifPresent(
+                        suppressed ->
+                                effects.accept(
+                                        new ReportInvalidRequest(
+                                                client, status, reason, suppressed)));
         respond(now, client, status, 0, Content.NONE, true);
     }
 
--- a/src/main/java/ottergauge/routing/Effect.java
+++ b/src/main/java/ottergauge/routing/Effect.java
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.routing;
 
+import java.util.Optional;
 import java.util.OptionalLong;
+import ottergauge.decision.api.AttemptResult;
 import ottergauge.protocol.Address;
 import ottergauge.protocol.Content;
 import ottergauge.protocol.EndpointList;
@@ -24,6 +26,21 @@
     record ReportInvalidRequest(long client, int status, String reason, int suppressed)
             implements Effect {}
 
+    /**
+     * Logs that a request failed although a server may have run it.
+     *
+     * @param attempts how many attempts were made
+     * @param lastResult the result of the attempt that ended last; empty if none has ended
+     * @param suppressed how many such lines were suppressed before
+     */
+    record ReportFailedRequest(
+            String traceId,
+            String requestClass,
+            int attempts,
+            Optional<AttemptResult> lastResult,
+            int suppressed)
+            implements Effect {}
+
     /** Accepts clients up to this number of connections. Further clients wait to be accepted. */
     record AcceptUpTo(int connections) implements Effect {}
 
@@ -45,11 +62,21 @@
     record ReadPendingInput(long connection, long attempt, OptionalLong pausedClient)
             implements Effect {}
 
-    /** Writes a request to a server; the node waits for the response until the timeout. */
-    record Forward(long connection, ClientRequest request, long timeoutMicros) implements Effect {}
+    /**
+     * Writes a request to a server; the node waits for the response until the timeout.
+     *
+     * @param attempt the index of the attempt among the request's attempts
+     */
+    record Forward(long connection, ClientRequest request, int attempt, long timeoutMicros)
+            implements Effect {}
 
-    /** Writes a request's head to a server, and its body as it arrives from the client. */
-    record ForwardStream(long connection, ClientRequest request, long timeoutMicros, long client)
+    /**
+     * Writes a request's head to a server, and its body as it arrives from the client.
+     *
+     * @param attempt the index of the attempt among the request's attempts
+     */
+    record ForwardStream(
+            long connection, ClientRequest request, int attempt, long timeoutMicros, long client)
             implements Effect {}
 
     /** Starts to stream a response of unknown length that has been buffered so far. */
--- a/src/main/java/ottergauge/routing/InFlightRequest.java
+++ b/src/main/java/ottergauge/routing/InFlightRequest.java
@@ -3,6 +3,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import ottergauge.decision.api.AttemptResult;
 import ottergauge.decision.api.RequestClass;
 import ottergauge.routing.Event.ClientRequest;
 
@@ -52,6 +53,9 @@
     /** The number of attempts that the decision module has requested. */
     int attemptCount;
 
+    /** The result of the attempt that ended last; null if none has ended. */
+    AttemptResult lastResult;
+
     /** Whether a server may have executed it. */
     boolean mayHaveRun;
 
--- a/src/main/java/ottergauge/routing/Metrics.java
+++ b/src/main/java/ottergauge/routing/Metrics.java
@@ -24,6 +24,9 @@
     private Map<String, Counters> byClass = new LinkedHashMap<>();
     private long upstreamRequests;
     private long pending;
+    private long relayed;
+    private long relaysTruncated;
+    private long relaying;
     private Optional<LogPosition> stateVersion = Optional.empty();
 
     Metrics(List<RequestClass> classes) {
@@ -78,6 +81,18 @@
         upstreamRequests++;
     }
 
+    /** A response begins to be relayed as it arrives. */
+    void relayStarted() {
+        relayed++;
+        relaying++;
+    }
+
+    /** A response is no longer relayed; {@code complete} is whether its client got all of it. */
+    void relayEnded(boolean complete) {
+        relaying--;
+        relaysTruncated += complete ? 0 : 1;
+    }
+
     /** All metrics, one per line; docs/operations.md defines their names. */
     String text(int servers, int unavailableServers) {
         StringBuilder text = new StringBuilder();
@@ -89,6 +104,9 @@
                 });
         line(text, "upstream_requests", upstreamRequests);
         line(text, "pending", pending);
+        line(text, "responses_relayed", relayed);
+        line(text, "responses_truncated", relaysTruncated);
+        line(text, "responses_relaying", relaying);
         stateVersion.ifPresent(position -> line(text, "state_version", position.version()));
         line(text, "members", servers);
         line(text, "members_unavailable", unavailableServers);
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -13,6 +13,7 @@
 import ottergauge.decision.api.RequestLimits;
 import ottergauge.protocol.Content;
 import ottergauge.protocol.RequestFields;
+import ottergauge.routing.Effect.ReportFailedRequest;
 import ottergauge.routing.Event.ClientRequest;
 import ottergauge.routing.Event.ServerResponse;
 
@@ -41,6 +42,8 @@
     private final Shutdown shutdown;
     private final Metrics metrics;
     private final Consumer<DecisionEvent> decisionEvents;
+    private final Consumer<Effect> effects;
+    private final ReportLimit failureReports = new ReportLimit();
 
     RequestHandler(
             InFlightRequests requests,
@@ -51,7 +54,8 @@
             EffectiveSettings settings,
             Shutdown shutdown,
             Metrics metrics,
-            Consumer<DecisionEvent> decisionEvents) {
+            Consumer<DecisionEvent> decisionEvents,
+            Consumer<Effect> effects) {
         this.requests = requests;
         this.clients = clients;
         this.attempts = attempts;
@@ -61,6 +65,7 @@
         this.shutdown = shutdown;
         this.metrics = metrics;
         this.decisionEvents = decisionEvents;
+        this.effects = effects;
     }
 
     /**
@@ -291,12 +296,17 @@
 
     private void stopRelaying(long now, InFlightRequest request) {
         upstreams.abandon(now, request.relaying, CloseReason.CLIENT_GONE);
-        relayEnded(now, request);
+        relayEnded(now, request, false);
     }
 
-    /** The response to a request is no longer being relayed. */
-    void relayEnded(long now, InFlightRequest request) {
+    /**
+     * The response to a request is no longer being relayed.
+     *
+     * @param complete whether all of it was passed to its client
+     */
+    void relayEnded(long now, InFlightRequest request, boolean complete) {
         request.relaying = null;
+        metrics.relayEnded(complete);
         streams.remove(request);
         requests.removeIfDone(now, request);
     }
@@ -317,9 +327,27 @@
 
     /** Fails a request that a server may have run. */
     void fail(long now, String id) {
+        InFlightRequest request = requests.get(id);
+        if (request != null && !request.finished) {
+            report(now, request);
+        }
         respond(now, id, BAD_GATEWAY, 0, Content.NONE);
     }
 
+    private void report(long now, InFlightRequest request) {
+        failureReports
+                .admit(now)
+                .ifPresent(
+                        suppressed ->
+                                effects.accept(
+                                        new ReportFailedRequest(
+                                                request.content.fields().traceId(),
+                                                request.requestClass.name(),
+                                                request.attemptCount,
+                                                Optional.ofNullable(request.lastResult),
+                                                suppressed)));
+    }
+
     private void respond(long now, String id, int status, long retryAfterMicros, Content content) {
         InFlightRequest request = requests.get(id);
         if (request == null || request.finished) {
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -107,7 +107,8 @@
                         settings,
                         shutdown,
                         metrics,
-                        decisionEvents::add);
+                        decisionEvents::add,
+                        effects);
         streamedResponses =
                 new StreamedResponses(
                         requests, attempts, clients, upstreams, streams, metrics, effects);
--- a/src/main/java/ottergauge/routing/StreamedResponses.java
+++ b/src/main/java/ottergauge/routing/StreamedResponses.java
@@ -67,6 +67,7 @@
                 && clients.relay(now, request.client, connection)) {
             requests.finish(now, request);
             request.relaying = attempt;
+            metrics.relayStarted();
             streams.add(request);
         } else {
             upstreams.abandon(now, attempt, CloseReason.NOT_REUSABLE);
@@ -105,7 +106,7 @@
                         attempt -> {
                             InFlightRequest request = attempt.request;
                             request.served = true;
-                            requests.relayEnded(now, request);
+                            requests.relayEnded(now, request, true);
                             metrics.completed(request.requestClass);
                             clients.relayCompleted(now, request.client);
                         });
@@ -120,7 +121,7 @@
             attempts.connectionClosed(now, attempt, malformed);
             return;
         }
-        requests.relayEnded(now, request);
+        requests.relayEnded(now, request, false);
         metrics.failed(request.requestClass);
         clients.truncate(request.client);
     }
--- a/src/main/java/ottergauge/routing/UpstreamPool.java
+++ b/src/main/java/ottergauge/routing/UpstreamPool.java
@@ -224,9 +224,14 @@
         } else if (request.streamed) {
             effects.accept(
                     new ForwardStream(
-                            number, request.content, attempt.dueAt - now, request.client));
+                            number,
+                            request.content,
+                            attempt.index,
+                            attempt.dueAt - now,
+                            request.client));
         } else {
-            effects.accept(new Forward(number, request.content, attempt.dueAt - now));
+            effects.accept(
+                    new Forward(number, request.content, attempt.index, attempt.dueAt - now));
         }
     }
 
--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import ottergauge.protocol.BodyLimits;
@@ -58,6 +59,9 @@
     /** Smaller buffers take little memory, even one for each connection. */
     private static final int MIN_REPORTED_BUFFER_BYTES = 4 * 1024;
 
+    private static final int NO_ATTEMPT = -1;
+    private static final long NOT_RELAYING = -1;
+
     private static final long PROGRESS_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     /**
@@ -107,6 +111,8 @@
     private long bytesOfEarlierRequests;
     private long unreportedBytes;
     private long progressReportedAt;
+    private long headAt;
+    private long relayedBytes = NOT_RELAYING;
 
     ClientConnection(
             String side,
@@ -149,6 +155,8 @@
             return;
         }
         head = request;
+        headAt = System.nanoTime();
+        relayedBytes = NOT_RELAYING;
         clientCloses = !HttpUtil.isKeepAlive(request);
         fields = null;
         try {
@@ -245,6 +253,11 @@
         }
     }
 
+    private void onRelayed(long bytes) {
+        relayedBytes += bytes;
+        onProgress(bytes);
+    }
+
     private void reportFlow(boolean blocked) {
         events.accept(new RequestBodyFlowChanged(number, blocked));
     }
@@ -437,15 +450,35 @@
         context().channel().config().setOption(ChannelOption.SO_SNDBUF, STREAM_SEND_BUFFER_BYTES);
         write(ClientResponses.head(server.streamedResponse(), closes));
         unreportedBytes = 0;
+        relayedBytes = server.streamedResponse().body().length;
         server.relayResponseTo(
                 this,
-                this::onProgress,
+                this::onRelayed,
                 written -> {
                     awaitNextRequest(closes);
                     onResponseWritten(closes, written.isSuccess());
                 });
     }
 
+    @Override
+    Optional<OpenExchange> openExchange() {
+        boolean open = fields != null && stage != Stage.AWAITING_HEAD && stage != Stage.ENDING;
+        if (!open) {
+            return Optional.empty();
+        }
+        long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - headAt);
+        String phase = relayedBytes < 0 ? stage.name() : "RELAYING_RESPONSE";
+        int status = relayedBytes < 0 ? 0 : HttpResponseStatus.OK.code();
+        return Optional.of(
+                new OpenExchange(
+                        fields.traceId(),
+                        NO_ATTEMPT,
+                        phase,
+                        status,
+                        Math.max(0, relayedBytes),
+                        elapsedMs));
+    }
+
     @Override
     void onClosed(CloseReason reason) {
         dropStream();
--- a/src/main/java/ottergauge/transport/Connection.java
+++ b/src/main/java/ottergauge/transport/Connection.java
@@ -11,6 +11,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import ottergauge.routing.CloseReason;
@@ -63,6 +64,11 @@
     /** Handles the connection's end. */
     abstract void onClosed(CloseReason reason);
 
+    /** The request on this connection whose response is not complete, if any. */
+    Optional<OpenExchange> openExchange() {
+        return Optional.empty();
+    }
+
     final ChannelHandlerContext context() {
         return context;
     }
@@ -191,7 +197,10 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         setCloseReason(CloseReason.PEER_CLOSED);
-        ConnectionLog.ended(side, address, closeReason);
+        openExchange()
+                .ifPresentOrElse(
+                        exchange -> ConnectionLog.ended(side, address, closeReason, exchange),
+                        () -> ConnectionLog.ended(side, address, closeReason));
         onClosed(closeReason);
         ctx.fireChannelInactive();
     }
--- a/src/main/java/ottergauge/transport/ConnectionLog.java
+++ b/src/main/java/ottergauge/transport/ConnectionLog.java
@@ -25,4 +25,11 @@
             LOG.info("ended side={} peer={} code={}", side, peer, reason);
         }
     }
+
+    /** The same for a connection that ended before the request on it had its whole response. */
+    static void ended(String side, Object peer, CloseReason reason, OpenExchange exchange) {
+        if (!SELF.equals(side)) {
+            LOG.info("ended side={} peer={} code={} {}", side, peer, reason, exchange.logFields());
+        }
+    }
 }
--- a/src/main/java/ottergauge/transport/DownstreamConnections.java
+++ b/src/main/java/ottergauge/transport/DownstreamConnections.java
@@ -125,6 +125,7 @@
         ClientConnection connection = connections.get(effect.client());
         if (connection != null && server != null) {
             long timeoutMs = UpstreamConnector.toMillis(effect.timeoutMicros());
+            server.identifyAttempt(effect.request().fields().traceId(), effect.attempt());
             connection.relayRequestTo(server, effect.request(), timeoutMs);
         }
     }
--- a/src/main/java/ottergauge/transport/EffectPerformer.java
+++ b/src/main/java/ottergauge/transport/EffectPerformer.java
@@ -80,6 +80,8 @@
             discovery.cancel(e);
         } else if (effect instanceof Effect.ReportInvalidRequest e) {
             clients.log(e);
+        } else if (effect instanceof Effect.ReportFailedRequest e) {
+            log(e);
         } else if (effect instanceof Effect.ClaimTraceId e) {
             claimTraceId(e);
         } else if (effect instanceof Effect.ReleaseTraceId e) {
@@ -113,6 +115,18 @@
         }
     }
 
+    private static void log(Effect.ReportFailedRequest effect) {
+        if (effect.suppressed() > 0) {
+            LOG.info("{} more failed requests were not logged", effect.suppressed());
+        }
+        LOG.info(
+                "request failed trace={} class={} attempts={} last={}",
+                effect.traceId(),
+                effect.requestClass(),
+                effect.attempts(),
+                effect.lastResult().map(Enum::name).orElse("none"));
+    }
+
     private void claimTraceId(Effect.ClaimTraceId effect) {
         if (hotRestart.isPresent() && !hotRestart.get().traceIds().claim(effect.traceIdHash())) {
             events.take(new Event.TraceIdTaken(effect.request()));
--- a/src/main/java/ottergauge/transport/OutboundConnection.java
+++ b/src/main/java/ottergauge/transport/OutboundConnection.java
@@ -21,6 +21,8 @@
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.ConnectOptions;
 import io.vertx.core.net.NetClient;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -91,6 +93,11 @@
     private StreamHandlers streamHandlers;
 
     private Stage stage = Stage.IDLE;
+    private String traceId = "";
+    private int attempt;
+    private long sentAt;
+    private int status;
+    private long responseBytes;
     private HttpResponse head;
     private boolean interim;
     private long announcedLength;
@@ -158,11 +165,17 @@
         streamHandlers = handlers;
     }
 
+    /** Sets the trace id and the index of the attempt that is sent next, for the log. */
+    void identifyAttempt(String requestTraceId, int attemptIndex) {
+        traceId = requestTraceId;
+        attempt = attemptIndex;
+    }
+
     /** Sends a request; {@code responseReceived} gets the response if it arrives completely. */
     void send(
             FullHttpRequest request, Runnable requestWritten, Consumer<Response> responseReceived) {
         responseHandler = responseReceived;
-        stage = Stage.AWAITING_HEAD;
+        beginExchange();
         context()
                 .writeAndFlush(request)
                 .addListener(written -> onRequestWritten(written.isSuccess(), requestWritten));
@@ -175,11 +188,18 @@
      */
     Consumer<ChannelFuture> sendHead(HttpRequest request) {
         responseHandler = streamHandlers.responseReceived();
-        stage = Stage.AWAITING_HEAD;
+        beginExchange();
         write(request);
         return written -> onRequestWritten(written.isSuccess(), streamHandlers.requestWritten());
     }
 
+    private void beginExchange() {
+        stage = Stage.AWAITING_HEAD;
+        sentAt = System.nanoTime();
+        status = 0;
+        responseBytes = 0;
+    }
+
     private void onRequestWritten(boolean success, Runnable handler) {
         if (success) {
             handler.run();
@@ -207,7 +227,7 @@
     }
 
     private void onHead(HttpResponse response) {
-        int status = response.status().code();
+        status = response.status().code();
         interim =
                 response.status().codeClass() == HttpStatusClass.INFORMATIONAL
                         && status != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
@@ -238,6 +258,7 @@
         if (head == null) {
             return;
         }
+        responseBytes += content.content().readableBytes();
         if (content.decoderResult().isFailure()) {
             fail(CloseReason.MALFORMED);
         } else if (stage == Stage.STREAMING_BODY) {
@@ -368,9 +389,20 @@
         body = null;
         streamedResponse = null;
         stream = null;
+        traceId = "";
         progressHandler = OutboundConnection::ignoreProgress;
     }
 
+    @Override
+    Optional<OpenExchange> openExchange() {
+        if (stage == Stage.IDLE || traceId.isEmpty()) {
+            return Optional.empty();
+        }
+        long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt);
+        return Optional.of(
+                new OpenExchange(traceId, attempt, stage.name(), status, responseBytes, elapsedMs));
+    }
+
     // A response without a length is complete when its connection is closed, but not when it is
     // reset.
     @Override
--- a/src/main/java/ottergauge/transport/UpstreamConnector.java
+++ b/src/main/java/ottergauge/transport/UpstreamConnector.java
@@ -104,6 +104,7 @@
         OutboundConnection connection = connections.get(number);
         if (connection != null) {
             long timeoutMs = toMillis(effect.timeoutMicros());
+            connection.identifyAttempt(effect.request().fields().traceId(), effect.attempt());
             FullHttpRequest message =
                     UpstreamRequests.complete(effect.request(), timeoutMs, connection.address());
             connection.send(
