--- a/src/test/java/ottergauge/program/ScriptedServer.java
+++ b/src/test/java/ottergauge/program/ScriptedServer.java
@@ -70,6 +70,22 @@
 
     /** Starts a server that behaves like this, and a node in front of it. */
     RunningNode nodeInFrontOf(Path folder, Behaviour behaviour) throws Exception {
+        return nodeInFrontOf(folder, new TestConfig(), 1, behaviour);
+    }
+
+    /** Starts servers that behave like this, and a node with this configuration before them. */
+    RunningNode nodeInFrontOf(Path folder, TestConfig config, int servers, Behaviour behaviour)
+            throws Exception {
+        for (int i = 1; i <= servers; i++) {
+            config.withEndpoints(
+                    endpointJson("s-" + i, "127.0.0.1:" + listen(behaviour), "in_service"));
+        }
+        RunningNode node = RunningNode.ready(folder, config, UNREACHABLE);
+        open.add(0, node);
+        return node;
+    }
+
+    private int listen(Behaviour behaviour) throws IOException {
         ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         open.add(listener);
         thread(
@@ -79,18 +95,7 @@
                         thread(() -> serve(connection, behaviour));
                     }
                 });
-        RunningNode node =
-                RunningNode.ready(
-                        folder,
-                        new TestConfig()
-                                .withEndpoints(
-                                        endpointJson(
-                                                "s-1",
-                                                "127.0.0.1:" + listener.getLocalPort(),
-                                                "in_service")),
-                        UNREACHABLE);
-        open.add(0, node);
-        return node;
+        return listener.getLocalPort();
     }
 
     private void serve(Socket connection, Behaviour behaviour) throws Exception {
