A response that has begun is not cut off at its attempt's timeout

Cause: a response of unknown length began to be streamed at half of the attempt's time only if more than one read had brought it; one that stopped after its head's segment was left to the attempt's timeout, and nobody asked again. A cancellation for a retry ended it as well. Class: a clock that runs for one party (the attempt) ends what another one still gives.

Change: the router owns the phase (UnsizedResponses). After the buffering time such a response is streamed as soon as more of it arrives.

StreamingTest.unsizedResponse_... reports the second read as an event, which the transport used to count for itself.

--- a/src/main/java/ottergauge/decision/DecisionEngine.java
+++ b/src/main/java/ottergauge/decision/DecisionEngine.java
@@ -11,6 +11,7 @@
 import ottergauge.decision.api.DecisionEvent.DiscoveryFailed;
 import ottergauge.decision.api.DecisionEvent.EndpointUpdate;
 import ottergauge.decision.api.DecisionEvent.ProbeEnded;
+import ottergauge.decision.api.DecisionEvent.RequestAnswered;
 import ottergauge.decision.api.DecisionEvent.RequestArrived;
 import ottergauge.decision.api.DecisionEvent.RequestBodySent;
 import ottergauge.decision.api.DecisionEvent.RequestBodyStreaming;
@@ -253,6 +254,8 @@
             discovery.pollFailed(now);
         } else if (event instanceof ClientDisconnected e) {
             lifecycle.clientDisconnected(e.id(), actions);
+        } else if (event instanceof RequestAnswered e) {
+            lifecycle.answered(e.id(), actions);
         } else if (event instanceof ResponseStarted e) {
             lifecycle.responseStarted(e.id());
         } else if (event instanceof RequestBodyStreaming e) {
--- a/src/main/java/ottergauge/decision/RequestLifecycle.java
+++ b/src/main/java/ottergauge/decision/RequestLifecycle.java
@@ -89,6 +89,14 @@
         }
     }
 
+    /** Completes a request that got the response to an attempt that had ended before. */
+    void answered(String id, DecisionActionSink actions) {
+        Request request = requests.find(id);
+        if (request != null && !request.isComplete()) {
+            complete(request, actions);
+        }
+    }
+
     /** Records that the response has started, after which the request can't be retried. */
     void responseStarted(String id) {
         Request request = requests.find(id);
--- a/src/main/java/ottergauge/decision/api/DecisionEvent.java
+++ b/src/main/java/ottergauge/decision/api/DecisionEvent.java
@@ -60,6 +60,12 @@
             LoadReport loadReport)
             implements DecisionEvent {}
 
+    /**
+     * The request got the response to an attempt that had been reported as ended before. It needs
+     * no further attempt.
+     */
+    record RequestAnswered(String id) implements DecisionEvent {}
+
     /** The client closed its connection before it received a response. */
     record ClientDisconnected(String id) implements DecisionEvent {}
 
--- a/src/main/java/ottergauge/routing/Attempt.java
+++ b/src/main/java/ottergauge/routing/Attempt.java
@@ -7,6 +7,7 @@
  */
 final class Attempt {
     static final long NO_TIMEOUT = Long.MAX_VALUE;
+    private static final long NOT_BEGUN = -1;
 
     final long number;
 
@@ -39,6 +40,18 @@
     /** Whether its last byte is written. Before that the server can't have run it. */
     boolean sendCompleted;
 
+    /** When the head of its response arrived, if the response is of unknown length. */
+    long responseBegunAt = NOT_BEGUN;
+
+    /** Whether more of a response of unknown length has arrived since the read of its head. */
+    boolean responseProgressed;
+
+    /** Whether a response of unknown length is streamed as soon as more of it arrives. */
+    boolean bufferingOver;
+
+    /** Whether its result has been reported to the decision module. */
+    boolean ended;
+
     Attempt(
             long number,
             InFlightRequest request,
@@ -59,6 +72,14 @@
         return request == null;
     }
 
+    /**
+     * Whether the head of a response of unknown length has arrived that can become the response to
+     * its request.
+     */
+    boolean hasResponseBegun() {
+        return responseBegunAt != NOT_BEGUN;
+    }
+
     /** Whether its request's body is being streamed to the server. */
     boolean isStreamingRequest() {
         return !isProbe() && request.streamed && sendStarted && !sendCompleted;
--- a/src/main/java/ottergauge/routing/Attempts.java
+++ b/src/main/java/ottergauge/routing/Attempts.java
@@ -3,7 +3,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Consumer;
 import ottergauge.decision.api.AttemptResult;
 import ottergauge.decision.api.DecisionAction.CancelAttempt;
@@ -29,6 +28,7 @@
 
     private final UpstreamPool upstreams;
     private final InFlightRequests requests;
+    private final UnsizedResponses unsizedResponses;
     private final SocketBudget sockets;
     private final EffectiveSettings settings;
     private final DiscoveryWatch watch;
@@ -42,6 +42,7 @@
     Attempts(
             UpstreamPool upstreams,
             InFlightRequests requests,
+            UnsizedResponses unsizedResponses,
             SocketBudget sockets,
             EffectiveSettings settings,
             DiscoveryWatch watch,
@@ -51,6 +52,7 @@
             Consumer<Effect> effects) {
         this.upstreams = upstreams;
         this.requests = requests;
+        this.unsizedResponses = unsizedResponses;
         this.sockets = sockets;
         this.settings = settings;
         this.watch = watch;
@@ -118,11 +120,6 @@
         }
     }
 
-    /** The attempt or probe of this number, unless it has ended. */
-    Optional<Attempt> find(long number) {
-        return Optional.ofNullable(byNumber.get(number));
-    }
-
     /**
      * Sends an attempt or probe whose connection is ready. No request to a server is written
      * without passing the check here, since the decision to send it may have been made long ago. An
@@ -187,7 +184,7 @@
         }
         for (Attempt attempt : request.outstanding) {
             if (attempt.index == action.attempt()) {
-                upstreams.abandon(now, attempt, CloseReason.CANCELLED);
+                giveUp(now, attempt, CloseReason.CANCELLED);
                 end(
                         now,
                         attempt,
@@ -197,6 +194,19 @@
         }
     }
 
+    private void giveUp(long now, Attempt attempt, CloseReason reason) {
+        if (!unsizedResponses.keepAsFallback(now, attempt)) {
+            upstreams.abandon(now, attempt, reason);
+        }
+    }
+
+    /** The head of a response of unknown length has arrived. */
+    void unsizedResponseBegun(long now, Attempt attempt, int status, boolean neverRan) {
+        if (unsizedResponses.begun(now, attempt, status, neverRan)) {
+            startTimeout(now, attempt);
+        }
+    }
+
     /**
      * An attempt's connection was not established in time. One late connection does not show that
      * its server is unreachable; several that are overdue at the same time do.
@@ -223,7 +233,7 @@
         if (now < attempt.dueAt) {
             startTimeout(now, attempt);
         } else {
-            upstreams.abandon(now, attempt, CloseReason.TIMED_OUT);
+            giveUp(now, attempt, CloseReason.TIMED_OUT);
             end(
                     now,
                     attempt,
@@ -284,8 +294,12 @@
         end(now, attempt, result, LoadReport.NONE);
     }
 
-    /** Ends an attempt or probe. */
+    /** Ends an attempt or probe, unless it has ended before. */
     void end(long now, Attempt attempt, AttemptResult result, LoadReport report) {
+        if (attempt.ended) {
+            return;
+        }
+        attempt.ended = true;
         byNumber.remove(attempt.number);
         long elapsed = now - attempt.startedAt;
         if (attempt.isProbe()) {
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -103,8 +103,18 @@
     /** A response has arrived completely. */
     record ResponseReceived(long connection, ServerResponse response) implements Event {}
 
-    /** The head of a response of unknown length has arrived. */
-    record UnsizedResponseStarted(long connection) implements Event {}
+    /**
+     * The head of a response of unknown length has arrived.
+     *
+     * @param neverRan whether the server says that it did not run the request
+     */
+    record UnsizedResponseStarted(long connection, int status, boolean neverRan) implements Event {}
+
+    /**
+     * More of a response of unknown length, which is being buffered, has arrived after the read
+     * that brought its head. Reported once for each response.
+     */
+    record UnsizedResponseProgressed(long connection) implements Event {}
 
     /**
      * A response is too large to be buffered; the rest of its body has not been read.
--- a/src/main/java/ottergauge/routing/InFlightRequest.java
+++ b/src/main/java/ottergauge/routing/InFlightRequest.java
@@ -48,6 +48,15 @@
     /** The attempt whose response is being relayed to the client, or null. */
     Attempt relaying;
 
+    /**
+     * An attempt that was given up although its response has begun. It is streamed unless another
+     * attempt is served. Null if there is none.
+     */
+    Attempt fallback;
+
+    /** The final response if the fallback, which is about to be streamed, ends first; or null. */
+    Refusal postponedRefusal;
+
     final List<Attempt> outstanding = new ArrayList<>(1);
 
     /** The number of attempts that the decision module has requested. */
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -7,6 +7,7 @@
 import ottergauge.decision.api.AttemptResult;
 import ottergauge.decision.api.DecisionEvent;
 import ottergauge.decision.api.DecisionEvent.ClientDisconnected;
+import ottergauge.decision.api.DecisionEvent.RequestAnswered;
 import ottergauge.decision.api.DecisionEvent.RequestArrived;
 import ottergauge.decision.api.Idempotency;
 import ottergauge.decision.api.RequestClass;
@@ -38,6 +39,7 @@
     private final Attempts attempts;
     private final UpstreamPool upstreams;
     private final StreamBudget streams;
+    private final UnsizedResponses unsizedResponses;
     private final EffectiveSettings settings;
     private final Shutdown shutdown;
     private final Metrics metrics;
@@ -51,6 +53,7 @@
             Attempts attempts,
             UpstreamPool upstreams,
             StreamBudget streams,
+            UnsizedResponses unsizedResponses,
             EffectiveSettings settings,
             Shutdown shutdown,
             Metrics metrics,
@@ -61,6 +64,7 @@
         this.attempts = attempts;
         this.upstreams = upstreams;
         this.streams = streams;
+        this.unsizedResponses = unsizedResponses;
         this.settings = settings;
         this.shutdown = shutdown;
         this.metrics = metrics;
@@ -130,7 +134,7 @@
         } else if (streams.admitsRequest()) {
             streams.add(request);
         } else {
-            reject(now, request.id, maxRetryAfter());
+            respond(now, request.id, new Refusal(UNAVAILABLE, maxRetryAfter()));
             return;
         }
         decisionEvents.accept(
@@ -247,7 +251,7 @@
         for (InFlightRequest request : requests.unfinished()) {
             if (request.complete) {
                 decisionEvents.accept(new ClientDisconnected(request.id));
-                fail(now, request.id);
+                respond(now, request.id, new Refusal(BAD_GATEWAY, 0));
             } else {
                 rejectUnfinished(now, request);
             }
@@ -257,7 +261,7 @@
 
     private void rejectUnfinished(long now, InFlightRequest request) {
         decisionEvents.accept(new ClientDisconnected(request.id));
-        reject(now, request.id, maxRetryAfter());
+        respond(now, request.id, new Refusal(UNAVAILABLE, maxRetryAfter()));
     }
 
     /** The last byte of an attempt or a probe is written. */
@@ -314,24 +318,72 @@
     /** A server has answered an attempt or a probe completely. */
     void responseReceived(long now, Attempt attempt, ServerResponse response) {
         AttemptResult result = attempts.resultOfResponse(attempt, response);
+        boolean wasFallback = removeFallback(attempt);
         if (!attempt.isProbe() && result == AttemptResult.SERVED) {
             respond(now, attempt.request.id, OK, 0, response.content());
         }
         attempts.end(now, attempt, result, response.report());
+        if (wasFallback) {
+            decisionEvents.accept(new RequestAnswered(attempt.request.id));
+        }
+    }
+
+    /** A response begins to be relayed to its client, which is its request's final response. */
+    void relayStarted(long now, Attempt attempt) {
+        boolean wasFallback = removeFallback(attempt);
+        finish(now, attempt.request);
+        attempt.request.relaying = attempt;
+        if (wasFallback) {
+            decisionEvents.accept(new RequestAnswered(attempt.request.id));
+        }
+    }
+
+    /**
+     * The connection of an attempt has ended. If it was its request's fallback, a refusal that was
+     * postponed for it is sent.
+     */
+    void fallbackEnded(long now, Attempt attempt) {
+        if (removeFallback(attempt) && attempt.request.postponedRefusal != null) {
+            respond(now, attempt.request.id, attempt.request.postponedRefusal);
+        }
+    }
+
+    private static boolean removeFallback(Attempt attempt) {
+        boolean isFallback = !attempt.isProbe() && attempt.request.fallback == attempt;
+        if (isFallback) {
+            attempt.request.fallback = null;
+        }
+        return isFallback;
     }
 
-    /** Rejects a request that no server has run, so that the client can safely retry it. */
+    /**
+     * Rejects a request that the client can safely retry, unless a response to it has begun and can
+     * be streamed.
+     */
     void reject(long now, String id, long retryAfterMicros) {
-        respond(now, id, UNAVAILABLE, retryAfterMicros, Content.NONE);
+        refuse(now, id, new Refusal(UNAVAILABLE, retryAfterMicros));
     }
 
-    /** Fails a request that a server may have run. */
+    /** Fails a request that a server may have run, with the same exception. */
     void fail(long now, String id) {
+        refuse(now, id, new Refusal(BAD_GATEWAY, 0));
+    }
+
+    private void refuse(long now, String id, Refusal refusal) {
+        InFlightRequest request = requests.get(id);
+        if (request != null
+                && !request.finished
+                && !unsizedResponses.streamInsteadOf(now, request, refusal)) {
+            respond(now, id, refusal);
+        }
+    }
+
+    private void respond(long now, String id, Refusal refusal) {
         InFlightRequest request = requests.get(id);
-        if (request != null && !request.finished) {
+        if (refusal.status() == BAD_GATEWAY && request != null && !request.finished) {
             report(now, request);
         }
-        respond(now, id, BAD_GATEWAY, 0, Content.NONE);
+        respond(now, id, refusal.status(), refusal.retryAfterMicros(), Content.NONE);
     }
 
     private void report(long now, InFlightRequest request) {
@@ -371,6 +423,7 @@
     void finish(long now, InFlightRequest request) {
         request.finished = true;
         streams.remove(request);
+        unsizedResponses.dropFallback(now, request);
         // No server runs an attempt that it lacks the end of, so that it can be withdrawn even if
         // the settings do not allow cancellation. The rest of a streamed request never comes.
         for (Attempt attempt : List.copyOf(request.outstanding)) {
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -52,6 +52,7 @@
     private final Attempts attempts;
     private final RequestHandler requests;
     private final StreamedResponses streamedResponses;
+    private final UnsizedResponses unsizedResponses;
     private final AdminState admin;
     private long now;
     private boolean serving;
@@ -86,10 +87,12 @@
         settings = new EffectiveSettings(config, endpoints, upstreams, metrics);
         InFlightRequests inFlight = new InFlightRequests(config.admin().isPresent(), effects);
         StreamBudget streams = new StreamBudget(config.memoryMb(), ioMemoryBytes, sockets);
+        unsizedResponses = new UnsizedResponses(inFlight, upstreams, streams, shutdown, effects);
         attempts =
                 new Attempts(
                         upstreams,
                         inFlight,
+                        unsizedResponses,
                         sockets,
                         settings,
                         endpoints.watch(),
@@ -104,14 +107,14 @@
                         attempts,
                         upstreams,
                         streams,
+                        unsizedResponses,
                         settings,
                         shutdown,
                         metrics,
                         decisionEvents::add,
                         effects);
         streamedResponses =
-                new StreamedResponses(
-                        requests, attempts, clients, upstreams, streams, metrics, effects);
+                new StreamedResponses(requests, attempts, clients, upstreams, streams, metrics);
         admin =
                 new AdminState(
                         metrics,
@@ -204,7 +207,15 @@
         } else if (event instanceof Event.UnsizedResponseStarted e) {
             upstreams
                     .attemptOn(e.connection())
-                    .ifPresent(attempt -> streamedResponses.unsizedStarted(now, attempt));
+                    .ifPresent(
+                            attempt ->
+                                    attempts.unsizedResponseBegun(
+                                            now, attempt, e.status(), e.neverRan()));
+        } else if (event instanceof Event.UnsizedResponseProgressed e) {
+            upstreams
+                    .attemptOn(e.connection())
+                    .filter(Attempt::hasResponseBegun)
+                    .ifPresent(unsizedResponses::progressed);
         } else if (event instanceof Event.StreamedResponseCompleted e) {
             streamedResponses.completed(now, e.connection(), e.reusable());
         } else if (event instanceof Event.UpstreamConnected e) {
@@ -269,7 +280,9 @@
                     .connectTimedOut(now, timeout.connection())
                     .ifPresent(attempt -> attempts.connectTimedOut(now, attempt));
         } else if (timer instanceof Timer.ResponseBufferTimeout timeout) {
-            streamedResponses.bufferTimedOut(timeout.attempt());
+            unsizedResponses.bufferTimedOut(timeout.connection());
+        } else if (timer instanceof Timer.FallbackDue due) {
+            unsizedResponses.fallbackDue(due.request(), due.attempt());
         } else if (timer instanceof Timer.PollTimeout timeout) {
             endpoints.watch().pollTimedOut(now, timeout.poll());
         } else if (timer instanceof Timer.NextPoll next) {
--- a/src/main/java/ottergauge/routing/StreamedResponses.java
+++ b/src/main/java/ottergauge/routing/StreamedResponses.java
@@ -1,11 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package ottergauge.routing;
 
-import java.util.Optional;
-import java.util.function.Consumer;
 import ottergauge.decision.api.AttemptResult;
-import ottergauge.routing.Effect.StartTimer;
-import ottergauge.routing.Effect.StreamResponse;
 import ottergauge.routing.Event.ServerResponse;
 
 /** Relays responses that are too large to be buffered, or of unknown length, as they arrive. */
@@ -17,7 +13,6 @@
     private final UpstreamPool upstreams;
     private final StreamBudget streams;
     private final Metrics metrics;
-    private final Consumer<Effect> effects;
 
     StreamedResponses(
             RequestHandler requests,
@@ -25,15 +20,13 @@
             DownstreamConnections clients,
             UpstreamPool upstreams,
             StreamBudget streams,
-            Metrics metrics,
-            Consumer<Effect> effects) {
+            Metrics metrics) {
         this.requests = requests;
         this.attempts = attempts;
         this.clients = clients;
         this.upstreams = upstreams;
         this.streams = streams;
         this.metrics = metrics;
-        this.effects = effects;
     }
 
     /**
@@ -65,39 +58,18 @@
                 && !request.finished
                 && streams.admitsResponse()
                 && clients.relay(now, request.client, connection)) {
-            requests.finish(now, request);
-            request.relaying = attempt;
+            requests.relayStarted(now, attempt);
             metrics.relayStarted();
             streams.add(request);
         } else {
             upstreams.abandon(now, attempt, CloseReason.NOT_REUSABLE);
+            requests.fallbackEnded(now, attempt);
             result = result == AttemptResult.SERVED ? AttemptResult.ERROR : result;
         }
         attempt.startedAt = Math.min(now, attempt.startedAt + sinceHeadMicros);
         attempts.end(now, attempt, result, response.report());
     }
 
-    /**
-     * A response of unknown length has started. If it does not end within half of the remaining
-     * time, it is streamed from then on, so that its first bytes reach the client in time.
-     */
-    void unsizedStarted(long now, Attempt attempt) {
-        if (!attempt.isProbe() && !attempt.isStreamingRequest()) {
-            effects.accept(
-                    new StartTimer(
-                            Math.max(1, (attempt.dueAt - now) / 2),
-                            new Timer.ResponseBufferTimeout(attempt.number)));
-        }
-    }
-
-    /** The buffering time of a response of unknown length is over: the response is streamed. */
-    void bufferTimedOut(long number) {
-        Optional<Attempt> found = attempts.find(number);
-        if (found.isPresent() && found.get().connection != null && !found.get().request.finished) {
-            effects.accept(new StreamResponse(found.get().connection.number));
-        }
-    }
-
     /** The last byte of a streamed response has been relayed. */
     void completed(long now, long connection, boolean reusable) {
         upstreams
@@ -119,6 +91,7 @@
         InFlightRequest request = attempt.request;
         if (request == null || request.relaying != attempt) {
             attempts.connectionClosed(now, attempt, malformed);
+            requests.fallbackEnded(now, attempt);
             return;
         }
         requests.relayEnded(now, request, false);
--- a/src/main/java/ottergauge/routing/Timer.java
+++ b/src/main/java/ottergauge/routing/Timer.java
@@ -16,8 +16,11 @@
     /** Attempts stop waiting for this connection to be established. */
     record ConnectTimeout(long connection) implements Timer {}
 
-    /** The buffering time of a response of unknown length is over. */
-    record ResponseBufferTimeout(long attempt) implements Timer {}
+    /** The buffering time of the response of unknown length on this connection is over. */
+    record ResponseBufferTimeout(long connection) implements Timer {}
+
+    /** A request's fallback, the response to this attempt, is not held back any longer. */
+    record FallbackDue(String request, long attempt) implements Timer {}
 
     /** Time to close connections that have been idle or without progress for too long. */
     record Sweep() implements Timer {}
--- a/src/main/java/ottergauge/transport/OutboundConnection.java
+++ b/src/main/java/ottergauge/transport/OutboundConnection.java
@@ -47,7 +47,10 @@
     /**
      * Handlers for messages whose bodies are too large to be buffered.
      *
-     * @param unsizedResponseStarted called when the head of a response without a length has arrived
+     * @param unsizedResponseStarted called when the head of a response without a length has
+     *     arrived, with the head and no bytes
+     * @param unsizedResponseProgressed called once when a later read has brought more of it and it
+     *     is still buffered
      * @param responseStarted called when a response is too large, with its head and first bytes
      * @param responseCompleted called when the last byte of a streamed response has arrived, with
      *     whether the connection is reusable
@@ -55,7 +58,8 @@
      * @param responseReceived called with the response to a streamed request, if it is small enough
      */
     record StreamHandlers(
-            Runnable unsizedResponseStarted,
+            Consumer<Response> unsizedResponseStarted,
+            Runnable unsizedResponseProgressed,
             Consumer<Response> responseStarted,
             Consumer<Boolean> responseCompleted,
             Runnable requestWritten,
@@ -83,6 +87,10 @@
     }
 
     private static final long NANOS_PER_MICRO = 1_000;
+    private static final byte[] NO_BYTES = {};
+
+    /** The number of the read that follows the one which brought the head. */
+    private static final int FIRST_READ_AFTER_HEAD = 2;
 
     private final HttpFraming.ResponseDecoder decoder;
     private final int maxBodyBytes;
@@ -245,7 +253,7 @@
             if (announcedLength > maxBodyBytes) {
                 beginStream();
             } else if (!response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-                streamHandlers.unsizedResponseStarted().run();
+                streamHandlers.unsizedResponseStarted().accept(response(NO_BYTES, false));
             }
         }
     }
@@ -293,11 +301,10 @@
 
     /**
      * Begins to stream a response of unknown length, even if it may still be small enough to be
-     * buffered. A response that arrived in a single read, with nothing after it, is not streamed:
-     * it is not long, and its server has failed to mark its end.
+     * buffered.
      */
     void streamUnsizedResponse() {
-        if (stage == Stage.BUFFERING_BODY && head != null && readsSinceHead > 1) {
+        if (stage == Stage.BUFFERING_BODY && head != null) {
             beginStream();
         }
     }
@@ -362,6 +369,9 @@
             stream.flush();
         }
         readsSinceHead++;
+        if (readsSinceHead == FIRST_READ_AFTER_HEAD && isBufferingUnsized()) {
+            streamHandlers.unsizedResponseProgressed().run();
+        }
         boolean nothingFollowed = !surplusParts && !decoder.hasMoreBytes();
         if (stage == Stage.RECEIVED) {
             Consumer<Response> handler = responseHandler;
@@ -379,6 +389,13 @@
         }
     }
 
+    private boolean isBufferingUnsized() {
+        return stage == Stage.BUFFERING_BODY
+                && streamHandlers != null
+                && head != null
+                && !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    }
+
     private static void ignoreProgress(long bytes) {}
 
     private void reset() {
--- a/src/main/java/ottergauge/transport/UpstreamConnector.java
+++ b/src/main/java/ottergauge/transport/UpstreamConnector.java
@@ -26,6 +26,7 @@
 import ottergauge.routing.Event.ServerResponse;
 import ottergauge.routing.Event.StreamedResponseCompleted;
 import ottergauge.routing.Event.StreamedResponseStarted;
+import ottergauge.routing.Event.UnsizedResponseProgressed;
 import ottergauge.routing.Event.UnsizedResponseStarted;
 import ottergauge.routing.Event.UpstreamClosed;
 import ottergauge.routing.Event.UpstreamConnectFailed;
@@ -87,7 +88,11 @@
     private OutboundConnection.StreamHandlers streamHandlers(
             long number, OutboundConnection connection) {
         return new OutboundConnection.StreamHandlers(
-                () -> events.accept(new UnsizedResponseStarted(number)),
+                response ->
+                        events.accept(
+                                new UnsizedResponseStarted(
+                                        number, response.status(), saysNeverRan(response))),
+                () -> events.accept(new UnsizedResponseProgressed(number)),
                 response ->
                         events.accept(
                                 new StreamedResponseStarted(
@@ -144,12 +149,16 @@
         String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
         return new ServerResponse(
                 response.status(),
-                TRUE.equals(response.headers().get(Headers.NEVER_RAN)),
+                saysNeverRan(response),
                 LoadReportReader.read(loadReport),
                 new Content(type, response.body()),
                 response.reusable());
     }
 
+    private static boolean saysNeverRan(OutboundConnection.Response response) {
+        return TRUE.equals(response.headers().get(Headers.NEVER_RAN));
+    }
+
     void streamResponse(StreamResponse effect) {
         OutboundConnection connection = connections.get(effect.connection());
         if (connection != null) {
--- a/src/test/java/ottergauge/program/LateBodyCheck.java
+++ b/src/test/java/ottergauge/program/LateBodyIT.java
@@ -25,13 +25,9 @@
 import ottergauge.program.RunningNode.Client;
 import ottergauge.protocol.TestConfig;
 
-/**
- * Servers that begin a response and go on with it after a silence, in front of a real process. It
- * is known to fail (KNOWN-RED.txt), so that its name keeps it out of the usual run; {@code
- * -Dit.test=LateBodyCheck} runs it.
- */
+/** Servers that begin a response and go on with it after a silence, in front of a real process. */
 @Timeout(120)
-class LateBodyCheck {
+class LateBodyIT {
 
     private static final String OBJECTIVE = "\"aimMs\":800.0";
     private static final String SHORT_OBJECTIVE = "\"aimMs\":400.0";
@@ -71,7 +67,9 @@
                 scripts.add(ResponseScript.of(framing, LONG, 1_000, silenceMs));
                 scripts.add(ResponseScript.of(framing, LONG, 40_000, silenceMs));
                 scripts.add(ResponseScript.of(framing, LONG, BUFFER, silenceMs));
-                scripts.add(ResponseScript.of(framing, LONG, LONG, silenceMs));
+                // A body with a length is complete with its last byte.
+                int last = framing == Framing.LENGTH ? LONG - 1 : LONG;
+                scripts.add(ResponseScript.of(framing, LONG, last, silenceMs));
             }
             scripts.add(
                     new ResponseScript(
--- a/src/test/java/ottergauge/routing/StreamingTest.java
+++ b/src/test/java/ottergauge/routing/StreamingTest.java
@@ -473,7 +473,8 @@
         Effect.Forward forward = node.forwardOnNewConnection("grant");
         node.written(forward);
         node.advanceMs(200);
-        node.handle(new Event.UnsizedResponseStarted(forward.connection()));
+        node.handle(new Event.UnsizedResponseStarted(forward.connection(), 200, false));
+        node.handle(new Event.UnsizedResponseProgressed(forward.connection()));
         node.expectNo(Effect.StreamResponse.class);
         node.advanceMs(400);
         assertEquals(forward.connection(), node.expect(Effect.StreamResponse.class).connection());
