A server's pause in a relayed response does not run on its client's clock

Cause: the 10 s that a client may go without reading began anew with the bytes that came from the server, so that a pause of the server counted as the client's.

Change: after 10 s without progress the router asks whether bytes wait for the client (CheckRelay). If so it is disconnected as before (SLOW_ANSWER). If not, the relay waits for the server, for 30 s from its last bytes; then the response ends recognizably (SERVER_SILENT) and its stream is free.

StreamingTest has both clocks in simulated time.

--- a/src/main/java/ottergauge/routing/DownstreamConnections.java
+++ b/src/main/java/ottergauge/routing/DownstreamConnections.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import ottergauge.protocol.Content;
+import ottergauge.routing.Effect.CheckRelay;
 import ottergauge.routing.Effect.CloseClient;
 import ottergauge.routing.Effect.RelayResponse;
 import ottergauge.routing.Effect.ReportInvalidRequest;
@@ -33,6 +34,8 @@
     // The operating system buffers a large part of a stream, so that a slow reader makes progress
     // only in large steps.
     private static final long STREAM_STALL_TIMEOUT_MICROS = 10_000_000;
+    // A server that has begun a response may pause for longer than a client may.
+    private static final long SERVER_SILENCE_TIMEOUT_MICROS = 30_000_000;
     private static final long IDLE_TIMEOUT_MICROS = 5_000_000;
     // A connection that has been idle for less than this may have a request on its way.
     private static final long RECENT_MICROS = 250_000;
@@ -52,11 +55,14 @@
         long since;
 
         /**
-         * When it is closed unless it makes progress. Ignored while the client awaits a response,
-         * and while the node doesn't read the body of its request.
+         * When it is closed, or its relay is checked, unless it makes progress. Ignored while the
+         * client awaits a response, and while the node doesn't read the body of its request.
          */
         long closeAt;
 
+        /** When the response that is relayed to it last made progress. */
+        long relayProgressAt;
+
         /** Whether a response has been written to it before. */
         boolean reused;
 
@@ -172,6 +178,7 @@
                             connection.since + BODY_STALL_TIMEOUT_MICROS + atMinRate);
         } else if (connection.stage == Stage.WRITING_RESPONSE) {
             boolean relaying = connection.request != null;
+            connection.relayProgressAt = now;
             connection.closeAt =
                     now + (relaying ? STREAM_STALL_TIMEOUT_MICROS : BODY_STALL_TIMEOUT_MICROS);
         }
@@ -267,6 +274,7 @@
         setBusy(client, connection, Stage.WRITING_RESPONSE);
         setBuffer(connection, 0);
         connection.reused = true;
+        connection.relayProgressAt = now;
         connection.closeAt = now + STREAM_STALL_TIMEOUT_MICROS;
         effects.accept(new RelayResponse(client, upstream, closesAfterResponses));
         return true;
@@ -285,12 +293,12 @@
     }
 
     /**
-     * Closes a connection before the end of its response, which shows the client that the request
-     * failed.
+     * Closes a connection for this reason before the end of its response, which shows the client
+     * that the request failed.
      */
-    void truncate(long client) {
+    void truncate(long client, CloseReason reason) {
         if (connections.containsKey(client)) {
-            close(client, CloseReason.CUT_SHORT);
+            close(client, reason);
         }
     }
 
@@ -388,15 +396,44 @@
             }
             if (connection.request == null) {
                 close(entry.getKey(), timeoutReason(connection));
+            } else if (connection.stage == Stage.WRITING_RESPONSE) {
+                effects.accept(new CheckRelay(entry.getKey()));
             } else {
-                // The transport reports the closed connection as an event, which also ends the
-                // request.
-                connection.closeAt = Long.MAX_VALUE;
-                effects.accept(new CloseClient(entry.getKey(), timeoutReason(connection)));
+                closeWithRequest(entry.getKey(), connection);
             }
         }
     }
 
+    // The transport reports the closed connection as an event, which also ends the request.
+    private void closeWithRequest(long client, Connection connection) {
+        connection.closeAt = Long.MAX_VALUE;
+        effects.accept(new CloseClient(client, timeoutReason(connection)));
+    }
+
+    /**
+     * A relayed response has made no progress for as long as a client may go without reading. The
+     * connection is closed if its client is what the response waits for; otherwise the server has
+     * more time.
+     *
+     * @param clientBehind whether the client still has to read
+     * @return the request, if the server's time is over too
+     */
+    Optional<InFlightRequest> relayChecked(long now, long client, boolean clientBehind) {
+        Connection connection = connections.get(client);
+        if (connection == null
+                || connection.request == null
+                || connection.stage != Stage.WRITING_RESPONSE
+                || now < connection.closeAt) {
+            return Optional.empty();
+        }
+        if (clientBehind) {
+            closeWithRequest(client, connection);
+            return Optional.empty();
+        }
+        connection.closeAt = connection.relayProgressAt + SERVER_SILENCE_TIMEOUT_MICROS;
+        return now < connection.closeAt ? Optional.empty() : Optional.of(connection.request);
+    }
+
     private static CloseReason timeoutReason(Connection connection) {
         if (connection.stage == Stage.READING_REQUEST) {
             return CloseReason.SLOW_REQUEST;
--- a/src/main/java/ottergauge/routing/Effect.java
+++ b/src/main/java/ottergauge/routing/Effect.java
@@ -85,6 +85,12 @@
     /** Relays a streamed response from a server's connection to a client. */
     record RelayResponse(long client, long connection, boolean closeAfter) implements Effect {}
 
+    /**
+     * Asks whether a client still has to read of the response that is being relayed to it; answered
+     * by {@link Event.RelayChecked}.
+     */
+    record CheckRelay(long client) implements Effect {}
+
     /** Asks a server for its load. */
     record ProbeLoad(long connection) implements Effect {}
 
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -79,6 +79,14 @@
     /** The last byte of a response to a client is written, or writing it failed. */
     record ResponseWritten(long client) implements Event {}
 
+    /**
+     * The reply to {@link Effect.CheckRelay}.
+     *
+     * @param clientBehind whether there are bytes that the client's connection does not accept;
+     *     otherwise the relay waits for the server
+     */
+    record RelayChecked(long client, boolean clientBehind) implements Event {}
+
     /** A client's connection has ended. */
     record ClientClosed(long client) implements Event {}
 
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -181,8 +181,8 @@
         countAccepted(request);
         metrics.failed(request.requestClass);
         if (request.relaying != null) {
-            stopRelaying(now, request);
-            clients.truncate(event.client());
+            stopRelaying(now, request, CloseReason.CLIENT_GONE);
+            clients.truncate(event.client(), CloseReason.CUT_SHORT);
             return;
         }
         decisionEvents.accept(new ClientDisconnected(request.id));
@@ -291,15 +291,26 @@
             metrics.clientDisconnected();
         }
         if (request.relaying != null) {
-            stopRelaying(now, request);
+            stopRelaying(now, request, CloseReason.CLIENT_GONE);
             return;
         }
         decisionEvents.accept(new ClientDisconnected(request.id));
         finish(now, request);
     }
 
-    private void stopRelaying(long now, InFlightRequest request) {
-        upstreams.abandon(now, request.relaying, CloseReason.CLIENT_GONE);
+    /** Whether a client still has to read of a response that makes no progress. */
+    void relayChecked(long now, long client, boolean clientBehind) {
+        clients.relayChecked(now, client, clientBehind)
+                .ifPresent(
+                        request -> {
+                            stopRelaying(now, request, CloseReason.SERVER_SILENT);
+                            metrics.failed(request.requestClass);
+                            clients.truncate(client, CloseReason.SERVER_SILENT);
+                        });
+    }
+
+    private void stopRelaying(long now, InFlightRequest request, CloseReason reason) {
+        upstreams.abandon(now, request.relaying, reason);
         relayEnded(now, request, false);
     }
 
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -175,6 +175,8 @@
             requests.streamCompleted(now, e.client());
         } else if (event instanceof Event.ResponseWritten e) {
             clients.responseWritten(now, e.client());
+        } else if (event instanceof Event.RelayChecked e) {
+            requests.relayChecked(now, e.client(), e.clientBehind());
         } else if (event instanceof Event.ClientConnected e) {
             clients.connected(now, e.client());
             sockets.clientConnected(now, e.client());
--- a/src/main/java/ottergauge/routing/StreamedResponses.java
+++ b/src/main/java/ottergauge/routing/StreamedResponses.java
@@ -96,6 +96,6 @@
         }
         requests.relayEnded(now, request, false);
         metrics.failed(request.requestClass);
-        clients.truncate(request.client);
+        clients.truncate(request.client, CloseReason.CUT_SHORT);
     }
 }
--- a/src/main/java/ottergauge/transport/Connection.java
+++ b/src/main/java/ottergauge/transport/Connection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.HttpObject;
@@ -146,6 +147,12 @@
         return context.channel().isWritable();
     }
 
+    /** Whether any bytes wait to be written. */
+    final boolean hasUnwrittenBytes() {
+        ChannelOutboundBuffer outbound = context.channel().unsafe().outboundBuffer();
+        return outbound != null && outbound.totalPendingWriteBytes() > 0;
+    }
+
     /** Replaces the handler that runs when the connection becomes writable again. */
     final void onWritable(Runnable handler) {
         writableHandler = handler;
--- a/src/main/java/ottergauge/transport/DownstreamConnections.java
+++ b/src/main/java/ottergauge/transport/DownstreamConnections.java
@@ -141,6 +141,12 @@
         }
     }
 
+    /** Whether a client's connection has bytes to write that it does not accept now. */
+    boolean isBehind(long client) {
+        ClientConnection connection = connections.get(client);
+        return connection != null && connection.hasUnwrittenBytes();
+    }
+
     void close(CloseClient effect) {
         ClientConnection connection = connections.get(effect.client());
         if (connection == null) {
--- a/src/main/java/ottergauge/transport/EffectPerformer.java
+++ b/src/main/java/ottergauge/transport/EffectPerformer.java
@@ -62,6 +62,8 @@
             servers.streamResponse(e);
         } else if (effect instanceof Effect.RelayResponse e) {
             clients.relayResponse(e, servers.connection(e.connection()));
+        } else if (effect instanceof Effect.CheckRelay e) {
+            events.take(new Event.RelayChecked(e.client(), clients.isBehind(e.client())));
         } else if (effect instanceof Effect.ReadPendingInput e) {
             readPendingInput(e);
         } else if (effect instanceof Effect.ProbeLoad e) {
--- a/src/test/java/ottergauge/program/PausingServerCheck.java
+++ b/src/test/java/ottergauge/program/PausingServerIT.java
@@ -13,22 +13,23 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import ottergauge.program.RunningNode.Client;
 
-/**
- * Servers that pause in the middle of a long response. It is known to fail (KNOWN-RED.txt), so that
- * its name keeps it out of the usual run; {@code -Dit.test=PausingServerCheck} runs it.
- */
+/** Servers that pause in the middle of a long response, and clients that do. */
 @Timeout(120)
-class PausingServerCheck {
+class PausingServerIT {
 
     private static final int LENGTH = 1 << 20;
     private static final int FIRST_PART = 300_000;
 
+    /** More than the buffers of the operating system take. */
+    private static final int UNREAD_LENGTH = 32 << 20;
+
     /** Longer than a client may go without reading, which is no fault of this client. */
     private static final long PAUSE_MS = TimeUnit.SECONDS.toMillis(12);
 
@@ -79,4 +80,29 @@
             assertEquals(checksum(response), checksum(received));
         }
     }
+
+    /**
+     * Guards against a client that keeps its stream for ever: it reads nothing while its server
+     * goes on, which is the client's own silence.
+     */
+    @Test
+    void clientThatReadsNothingOfALongResponseIsClosed() throws Exception {
+        RunningNode node =
+                server.nodeInFrontOf(
+                        folder,
+                        (requestHead, in, out) -> {
+                            body(requestHead, in);
+                            out.write(
+                                    text(
+                                            "HTTP/1.1 200 OK\r\nContent-Length: "
+                                                    + UNREAD_LENGTH
+                                                    + "\r\n\r\n"));
+                            out.write(bytes(UNREAD_LENGTH));
+                        });
+        try (Client client = node.client()) {
+            client.write(Client.request("grant", "ok", ""));
+            node.awaitLog("code=SLOW_ANSWER");
+            assertTrue(node.log().contains("phase=RELAYING_RESPONSE"), node.log());
+        }
+    }
 }
--- a/src/test/java/ottergauge/routing/RouterDriver.java
+++ b/src/test/java/ottergauge/routing/RouterDriver.java
@@ -43,7 +43,9 @@
     private final Deque<Effect.ReadPendingInput> reads = new ArrayDeque<>();
     private final Router router;
     private boolean holdsPendingReads;
+    private final Deque<Effect.CheckRelay> relayChecks = new ArrayDeque<>();
     private boolean unreadBacklog;
+    private boolean clientsReadAll;
     private long now = 1_000_000_000_000L;
     private long order;
     private long lastClient;
@@ -76,6 +78,8 @@
             timers.add(new ScheduledTimer(now + timer.delayMicros(), order++, timer.timer()));
         } else if (effect instanceof Effect.ReadPendingInput read) {
             reads.add(read);
+        } else if (effect instanceof Effect.CheckRelay check) {
+            relayChecks.add(check);
         } else {
             lastPoll = effect instanceof PollDiscovery call ? call.poll() : lastPoll;
             effects.add(effect);
@@ -87,6 +91,15 @@
         while (!holdsPendingReads && !reads.isEmpty()) {
             confirm(reads.poll());
         }
+        while (!relayChecks.isEmpty()) {
+            long client = relayChecks.poll().client();
+            router.handle(now, new Event.RelayChecked(client, !clientsReadAll));
+        }
+    }
+
+    /** From now on, clients have read all of the responses that are relayed to them. */
+    void letClientsReadAll() {
+        clientsReadAll = true;
     }
 
     /**
--- a/src/test/java/ottergauge/routing/StreamingTest.java
+++ b/src/test/java/ottergauge/routing/StreamingTest.java
@@ -464,6 +464,46 @@
                 node.expect(CloseUpstream.class));
     }
 
+    /** Begins to relay a response; returns the connection to its server. */
+    private long relayResponse() {
+        Effect.Forward forward = node.forwardOnNewConnection("grant");
+        node.written(forward);
+        node.handle(streamedResponseStarted(forward.connection()));
+        node.expect(RelayResponse.class);
+        return forward.connection();
+    }
+
+    /** A client that does not read a response that its server gives is disconnected. */
+    @Test
+    void relayWhoseClientDoesNotRead_isClosedAsASlowAnswer() {
+        relayResponse();
+        node.advanceMs(9_000);
+        node.expectNo(CloseClient.class);
+        node.advanceMs(1_500);
+        assertEquals(CloseReason.SLOW_ANSWER, node.expect(CloseClient.class).reason());
+    }
+
+    /**
+     * Guards against a response that is cut off because its server pauses, while its client has
+     * read everything: the client's time does not run meanwhile. A server that stays silent does
+     * not keep its stream for ever, and the client can tell that the response is not whole.
+     */
+    @Test
+    void relayWhoseServerPauses_lastsUntilTheServerIsSilentForTooLong() {
+        node.letClientsReadAll();
+        long connection = relayResponse();
+        node.advanceMs(25_000);
+        node.handle(new Event.BodyProgress(1, 1_000));
+        node.advanceMs(29_000);
+        node.expectNo(CloseClient.class);
+        node.expectNo(CloseUpstream.class);
+        node.advanceMs(1_500);
+        assertEquals(
+                new CloseUpstream(connection, CloseReason.SERVER_SILENT),
+                node.expect(CloseUpstream.class));
+        assertEquals(CloseReason.SERVER_SILENT, node.expect(CloseClient.class).reason());
+    }
+
     /**
      * Guards against a timeout of a response without a length: the node buffers the response at
      * first, and starts to stream it before the request's timeout.
