A response that stops after its first bytes ends in time; no false timeout

Two consequences of streaming a begun response at its attempt's timeout, found by tests before a caller met them.

A server that fails to mark the end of a short response would have kept its client waiting (30 s in LateBodyIT, before 502 at the timeout). Final responses are owed within half a second of the deadline. If bytes of the body came with the head and none followed 0.3 s after the deadline, the response ends recognizably. What came with the head is told by time (10 ms) and size (16 KiB), no longer by reads: a burst of 5 kB takes several.

An attempt without a possible retry counted as timed out although its server had responded, and a single server then got no request for a while (UnsizedResponsesTest.laterResponse...). The engine is asked first (DecisionView.mightRetry); without a retry the response is streamed and counts as served, as one with a large length does.

LateBodyIT ranges over interim responses, heads in pieces, chunks of one byte, large requests, slow clients, reload, maintenance, shutdown, and the counter-cases: never ended, spoilt after the silence. For responses without a length the silence of 2.5 s after bytes in the head's segment moved to the counter-cases: it cannot be told from an end that is never marked.

--- a/src/main/java/ottergauge/decision/DecisionEngine.java
+++ b/src/main/java/ottergauge/decision/DecisionEngine.java
@@ -388,6 +388,12 @@
                 && slowStart.permitsStart(attempt, at);
     }
 
+    @Override
+    public boolean mightRetry(long at, String id, int attemptNumber) {
+        Attempt attempt = requests.findAttempt(id, attemptNumber);
+        return attempt != null && lifecycle.mightRetry(attempt, at);
+    }
+
     /** Returns how many servers the operations on the ring have visited, as a measure of cost. */
     long serverVisits() {
         return ring.visits();
--- a/src/main/java/ottergauge/decision/RequestLifecycle.java
+++ b/src/main/java/ottergauge/decision/RequestLifecycle.java
@@ -138,6 +138,15 @@
         }
     }
 
+    /** Returns whether a request might be queued again if this attempt ended without a response. */
+    boolean mightRetry(Attempt attempt, long now) {
+        Request request = attempt.request();
+        boolean inTime =
+                !admission.cannotMeetDeadline(request, now)
+                        || admission.canExtendDeadline(request, now);
+        return inTime && RepeatRules.mayRetryAfter(attempt, now);
+    }
+
     // An attempt that reached no server added no load, so the retry after it needs no retry budget.
     // If it did, and many connections to all servers failed, the budget would soon be empty and
     // most requests would be rejected.
--- a/src/main/java/ottergauge/decision/api/DecisionView.java
+++ b/src/main/java/ottergauge/decision/api/DecisionView.java
@@ -9,4 +9,10 @@
 
     /** Returns whether an attempt that the engine requested earlier may start at this instant. */
     boolean mayBegin(long at, String id, int attempt);
+
+    /**
+     * Returns whether a request might get another attempt if this one ended without a response at
+     * this instant. If not, the request would be rejected or failed.
+     */
+    boolean mightRetry(long at, String id, int attempt);
 }
--- a/src/main/java/ottergauge/decision/request/AdmissionControl.java
+++ b/src/main/java/ottergauge/decision/request/AdmissionControl.java
@@ -55,9 +55,7 @@
      * @return whether the deadline was extended; the request is then no longer in the pending queue
      */
     public boolean extendDeadline(Request request, long now) {
-        long valuableUntil = request.times().valuableUntil();
-        boolean extended =
-                request.deadline() < valuableUntil && now + minTimeNeeded(request) < valuableUntil;
+        boolean extended = canExtendDeadline(request, now);
         if (extended) {
             queue.remove(request);
             request.extendToLateResponse();
@@ -65,6 +63,12 @@
         return extended;
     }
 
+    /** Returns whether {@link #extendDeadline} would extend the deadline. */
+    public boolean canExtendDeadline(Request request, long now) {
+        long valuableUntil = request.times().valuableUntil();
+        return request.deadline() < valuableUntil && now + minTimeNeeded(request) < valuableUntil;
+    }
+
     private double minTimeNeeded(Request request) {
         return Math.min(
                 MIN_SERVICE_TIME_RATIO * serviceTimes.mean(),
--- a/src/main/java/ottergauge/decision/request/RepeatRules.java
+++ b/src/main/java/ottergauge/decision/request/RepeatRules.java
@@ -76,9 +76,25 @@
     }
 
     private static boolean mayRepeat(Attempt attempt, long now) {
-        RequestClass requestClass = attempt.request().requestClass();
-        return requestClass.idempotency() == Idempotency.IDEMPOTENT
-                || (requestClass.idempotency() == Idempotency.KEYED
-                        && now < attempt.sentAt() + requestClass.deduplicationWindow() / 2);
+        long window = attempt.request().requestClass().deduplicationWindow();
+        return mayRepeatWithin(attempt, window / 2, now);
+    }
+
+    /**
+     * Returns whether some server may get another attempt after an outstanding one that its server
+     * may have executed.
+     */
+    public static boolean mayRetryAfter(Attempt attempt, long now) {
+        Request request = attempt.request();
+        return !request.isComplete()
+                && !request.isUnrepeatable()
+                && request.attempts() < request.limits().maxAttempts()
+                && mayRepeatWithin(attempt, request.requestClass().deduplicationWindow(), now);
+    }
+
+    private static boolean mayRepeatWithin(Attempt attempt, long window, long now) {
+        Idempotency idempotency = attempt.request().requestClass().idempotency();
+        return idempotency == Idempotency.IDEMPOTENT
+                || (idempotency == Idempotency.KEYED && now < attempt.sentAt() + window);
     }
 }
--- a/src/main/java/ottergauge/routing/Attempt.java
+++ b/src/main/java/ottergauge/routing/Attempt.java
@@ -43,7 +43,7 @@
     /** When the head of its response arrived, if the response is of unknown length. */
     long responseBegunAt = NOT_BEGUN;
 
-    /** Whether more of a response of unknown length has arrived since the read of its head. */
+    /** Whether more of a response of unknown length has arrived than what came with its head. */
     boolean responseProgressed;
 
     /** Whether a response of unknown length is streamed as soon as more of it arrives. */
--- a/src/main/java/ottergauge/routing/Attempts.java
+++ b/src/main/java/ottergauge/routing/Attempts.java
@@ -232,7 +232,7 @@
         }
         if (now < attempt.dueAt) {
             startTimeout(now, attempt);
-        } else {
+        } else if (!unsizedResponses.streamAtTimeout(now, attempt)) {
             giveUp(now, attempt, CloseReason.TIMED_OUT);
             end(
                     now,
--- a/src/main/java/ottergauge/routing/CloseReason.java
+++ b/src/main/java/ottergauge/routing/CloseReason.java
@@ -31,7 +31,9 @@
     SLOW_REQUEST,
     /** Its client did not read the response in time. */
     SLOW_ANSWER,
-    /** Its server sent nothing for too long in the middle of a response that was being relayed. */
+    /**
+     * Its server sent nothing more for too long in the middle of a response that was being relayed.
+     */
     SERVER_SILENT,
     /** The server ended the connection before the end of a response that was being relayed. */
     CUT_SHORT,
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -119,17 +119,19 @@
     record UnsizedResponseStarted(long connection, int status, boolean neverRan) implements Event {}
 
     /**
-     * More of a response of unknown length, which is being buffered, has arrived after the read
-     * that brought its head. Reported once for each response.
+     * More of a response of unknown length, which is being buffered, has arrived than what came
+     * with its head. Reported once for each response.
      */
     record UnsizedResponseProgressed(long connection) implements Event {}
 
     /**
      * A response is too large to be buffered; the rest of its body has not been read.
      *
+     * @param bufferedBytes how many bytes of its body have arrived
      * @param sinceHeadMicros how long ago its head arrived
      */
-    record StreamedResponseStarted(long connection, ServerResponse response, long sinceHeadMicros)
+    record StreamedResponseStarted(
+            long connection, ServerResponse response, int bufferedBytes, long sinceHeadMicros)
             implements Event {}
 
     /** The last byte of a streamed response has been passed to the client's connection. */
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -301,12 +301,23 @@
     /** Whether a client still has to read of a response that makes no progress. */
     void relayChecked(long now, long client, boolean clientBehind) {
         clients.relayChecked(now, client, clientBehind)
-                .ifPresent(
-                        request -> {
-                            stopRelaying(now, request, CloseReason.SERVER_SILENT);
-                            metrics.failed(request.requestClass);
-                            clients.truncate(client, CloseReason.SERVER_SILENT);
-                        });
+                .ifPresent(request -> truncateSilent(now, request));
+    }
+
+    /** Ends the relay of a response of which nothing has come since it began to be relayed. */
+    void endUnlessProgressed(long now, Attempt attempt) {
+        InFlightRequest request = attempt.request;
+        if (request != null
+                && request.relaying == attempt
+                && !clients.hasRelayProgressed(request.client)) {
+            truncateSilent(now, request);
+        }
+    }
+
+    private void truncateSilent(long now, InFlightRequest request) {
+        stopRelaying(now, request, CloseReason.SERVER_SILENT);
+        metrics.failed(request.requestClass);
+        clients.truncate(request.client, CloseReason.SERVER_SILENT);
     }
 
     private void stopRelaying(long now, InFlightRequest request, CloseReason reason) {
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -87,7 +87,8 @@
         settings = new EffectiveSettings(config, endpoints, upstreams, metrics);
         InFlightRequests inFlight = new InFlightRequests(config.admin().isPresent(), effects);
         StreamBudget streams = new StreamBudget(config.memoryMb(), ioMemoryBytes, sockets);
-        unsizedResponses = new UnsizedResponses(inFlight, upstreams, streams, shutdown, effects);
+        unsizedResponses =
+                new UnsizedResponses(inFlight, upstreams, streams, shutdown, decisions, effects);
         attempts =
                 new Attempts(
                         upstreams,
@@ -114,7 +115,8 @@
                         decisionEvents::add,
                         effects);
         streamedResponses =
-                new StreamedResponses(requests, attempts, clients, upstreams, streams, metrics);
+                new StreamedResponses(
+                        requests, attempts, clients, upstreams, streams, unsizedResponses, metrics);
         admin =
                 new AdminState(
                         metrics,
@@ -205,7 +207,7 @@
                     .sendCompleted(e.connection())
                     .ifPresent(attempt -> requests.requestWritten(now, attempt));
         } else if (event instanceof Event.StreamedResponseStarted e) {
-            streamedResponses.started(now, e.connection(), e.response(), e.sinceHeadMicros());
+            streamedResponses.started(now, e);
         } else if (event instanceof Event.UnsizedResponseStarted e) {
             upstreams
                     .attemptOn(e.connection())
@@ -282,7 +284,12 @@
                     .connectTimedOut(now, timeout.connection())
                     .ifPresent(attempt -> attempts.connectTimedOut(now, attempt));
         } else if (timer instanceof Timer.ResponseBufferTimeout timeout) {
-            unsizedResponses.bufferTimedOut(timeout.connection());
+            unsizedResponses.bufferTimedOut(timeout.connection(), timeout.attempt());
+        } else if (timer instanceof Timer.UnendedResponseDue due) {
+            upstreams
+                    .attemptOn(due.connection())
+                    .filter(attempt -> attempt.number == due.attempt())
+                    .ifPresent(attempt -> requests.endUnlessProgressed(now, attempt));
         } else if (timer instanceof Timer.FallbackDue due) {
             unsizedResponses.fallbackDue(due.request(), due.attempt());
         } else if (timer instanceof Timer.PollTimeout timeout) {
--- a/src/main/java/ottergauge/routing/StreamedResponses.java
+++ b/src/main/java/ottergauge/routing/StreamedResponses.java
@@ -3,6 +3,7 @@
 
 import ottergauge.decision.api.AttemptResult;
 import ottergauge.routing.Event.ServerResponse;
+import ottergauge.routing.Event.StreamedResponseStarted;
 
 /** Relays responses that are too large to be buffered, or of unknown length, as they arrive. */
 final class StreamedResponses {
@@ -12,6 +13,7 @@
     private final DownstreamConnections clients;
     private final UpstreamPool upstreams;
     private final StreamBudget streams;
+    private final UnsizedResponses unsizedResponses;
     private final Metrics metrics;
 
     StreamedResponses(
@@ -20,12 +22,14 @@
             DownstreamConnections clients,
             UpstreamPool upstreams,
             StreamBudget streams,
+            UnsizedResponses unsizedResponses,
             Metrics metrics) {
         this.requests = requests;
         this.attempts = attempts;
         this.clients = clients;
         this.upstreams = upstreams;
         this.streams = streams;
+        this.unsizedResponses = unsizedResponses;
         this.metrics = metrics;
     }
 
@@ -33,22 +37,14 @@
      * A response is too large to be buffered. For the decision module the attempt ends here, so
      * that the client's reading speed does not count against the server. From now on no deadline
      * ends the response.
-     *
-     * @param sinceHeadMicros how long ago the response's head arrived
      */
-    void started(long now, long connection, ServerResponse response, long sinceHeadMicros) {
-        upstreams
-                .attemptOn(connection)
-                .ifPresent(attempt -> started(now, connection, attempt, response, sinceHeadMicros));
+    void started(long now, StreamedResponseStarted event) {
+        upstreams.attemptOn(event.connection()).ifPresent(attempt -> started(now, attempt, event));
     }
 
-    private void started(
-            long now,
-            long connection,
-            Attempt attempt,
-            ServerResponse response,
-            long sinceHeadMicros) {
+    private void started(long now, Attempt attempt, StreamedResponseStarted event) {
         InFlightRequest request = attempt.request;
+        ServerResponse response = event.response();
         // A valid response to a probe is never this large.
         AttemptResult result =
                 attempt.isProbe()
@@ -57,16 +53,17 @@
         if (result == AttemptResult.SERVED
                 && !request.finished
                 && streams.admitsResponse()
-                && clients.relay(now, request.client, connection)) {
+                && clients.relay(now, request.client, event.connection())) {
             requests.relayStarted(now, attempt);
             metrics.relayStarted();
             streams.add(request);
+            unsizedResponses.relayStarted(now, attempt, event.bufferedBytes());
         } else {
             upstreams.abandon(now, attempt, CloseReason.NOT_REUSABLE);
             requests.fallbackEnded(now, attempt);
             result = result == AttemptResult.SERVED ? AttemptResult.ERROR : result;
         }
-        attempt.startedAt = Math.min(now, attempt.startedAt + sinceHeadMicros);
+        attempt.startedAt = Math.min(now, attempt.startedAt + event.sinceHeadMicros());
         attempts.end(now, attempt, result, response.report());
     }
 
--- a/src/main/java/ottergauge/routing/Timer.java
+++ b/src/main/java/ottergauge/routing/Timer.java
@@ -16,12 +16,18 @@
     /** Attempts stop waiting for this connection to be established. */
     record ConnectTimeout(long connection) implements Timer {}
 
-    /** The buffering time of the response of unknown length on this connection is over. */
-    record ResponseBufferTimeout(long connection) implements Timer {}
+    /** The buffering time of the response of unknown length to this attempt is over. */
+    record ResponseBufferTimeout(long connection, long attempt) implements Timer {}
 
     /** A request's fallback, the response to this attempt, is not held back any longer. */
     record FallbackDue(String request, long attempt) implements Timer {}
 
+    /**
+     * The response to this attempt, which is being relayed, must have gone on by now, if all of it
+     * that has come was with its head.
+     */
+    record UnendedResponseDue(long connection, long attempt) implements Timer {}
+
     /** Time to close connections that have been idle or without progress for too long. */
     record Sweep() implements Timer {}
 
--- a/src/main/java/ottergauge/routing/UnsizedResponses.java
+++ b/src/main/java/ottergauge/routing/UnsizedResponses.java
@@ -3,6 +3,7 @@
 
 import java.util.function.Consumer;
 import ottergauge.decision.api.AttemptResult;
+import ottergauge.decision.api.DecisionView;
 import ottergauge.protocol.AttemptResults;
 import ottergauge.routing.Effect.StartTimer;
 import ottergauge.routing.Effect.StreamResponse;
@@ -26,11 +27,14 @@
     // The first byte has to reach the client while it still waits.
     private static final long DEADLINE_MARGIN_MICROS = 50_000;
     private static final int DEADLINE_MARGIN_DIVISOR = 4;
+    // A client gets its final response within half a second after its deadline.
+    private static final long UNENDED_RESPONSE_MICROS = 300_000;
 
     private final InFlightRequests requests;
     private final UpstreamPool upstreams;
     private final StreamBudget streams;
     private final Shutdown shutdown;
+    private final DecisionView decisions;
     private final Consumer<Effect> effects;
 
     UnsizedResponses(
@@ -38,11 +42,13 @@
             UpstreamPool upstreams,
             StreamBudget streams,
             Shutdown shutdown,
+            DecisionView decisions,
             Consumer<Effect> effects) {
         this.requests = requests;
         this.upstreams = upstreams;
         this.streams = streams;
         this.shutdown = shutdown;
+        this.decisions = decisions;
         this.effects = effects;
     }
 
@@ -66,7 +72,8 @@
         effects.accept(
                 new StartTimer(
                         Math.max(1, (attempt.dueAt - now) / 2),
-                        new Timer.ResponseBufferTimeout(attempt.connection.number)));
+                        new Timer.ResponseBufferTimeout(
+                                attempt.connection.number, attempt.number)));
         return true;
     }
 
@@ -76,7 +83,7 @@
         return request.deadline - margin;
     }
 
-    /** More of a response has arrived after the read that brought its head. */
+    /** More of a response has arrived than what came with its head. */
     void progressed(Attempt attempt) {
         attempt.responseProgressed = true;
         if (attempt.bufferingOver) {
@@ -85,14 +92,14 @@
     }
 
     /**
-     * The buffering time of the response on a connection is over. It is streamed if it has gone on
-     * since its head was read, else as soon as it does. One that has not may never end: its server
-     * may have failed to mark the end, and a retry would be better.
+     * The buffering time of the response to an attempt is over. It is streamed if it has gone on
+     * since its head came, else as soon as it does. One that has not may never end: its server may
+     * have failed to mark the end, and a retry would be better.
      */
-    void bufferTimedOut(long connection) {
+    void bufferTimedOut(long connection, long attemptNumber) {
         upstreams
                 .attemptOn(connection)
-                .filter(attempt -> attempt.hasResponseBegun())
+                .filter(attempt -> attempt.number == attemptNumber)
                 .ifPresent(
                         attempt -> {
                             attempt.bufferingOver = true;
@@ -102,6 +109,19 @@
                         });
     }
 
+    /**
+     * An attempt has timed out. If its response has begun and no retry is possible, the response is
+     * streamed.
+     *
+     * @return whether it is, so that the attempt does not end
+     */
+    boolean streamAtTimeout(long now, Attempt attempt) {
+        return attempt.hasResponseBegun()
+                && attempt.request.fallback == null
+                && !decisions.mightRetry(now, attempt.request.id, attempt.index)
+                && stream(attempt);
+    }
+
     private boolean stream(Attempt attempt) {
         if (attempt.request.finished || !streams.admitsResponse()) {
             return false;
@@ -136,6 +156,24 @@
         return true;
     }
 
+    /**
+     * A response begins to be relayed. If it is one whose server sent the first bytes of its body
+     * with the head and nothing since, that server may have failed to mark the end. Its client must
+     * learn of the failure soon after its deadline.
+     *
+     * @param bodyBytes how many bytes of the body have arrived
+     */
+    void relayStarted(long now, Attempt attempt, int bodyBytes) {
+        if (attempt.hasResponseBegun() && !attempt.responseProgressed && bodyBytes > 0) {
+            long endAt = attempt.request.deadline + UNENDED_RESPONSE_MICROS;
+            effects.accept(
+                    new StartTimer(
+                            Math.max(1, endAt - now),
+                            new Timer.UnendedResponseDue(
+                                    attempt.connection.number, attempt.number)));
+        }
+    }
+
     /** No other attempt was served in time: the fallback is streamed, if there still is one. */
     void fallbackDue(String id, long attemptNumber) {
         InFlightRequest request = requests.get(id);
--- a/src/main/java/ottergauge/transport/ClientConnection.java
+++ b/src/main/java/ottergauge/transport/ClientConnection.java
@@ -450,7 +450,9 @@
         context().channel().config().setOption(ChannelOption.SO_SNDBUF, STREAM_SEND_BUFFER_BYTES);
         write(ClientResponses.head(server.streamedResponse(), closes));
         unreportedBytes = 0;
-        relayedBytes = server.streamedResponse().body().length;
+        relayedBytes = server.bufferedBytes();
+        // The first part that follows is reported at once.
+        progressReportedAt = System.nanoTime() - PROGRESS_PERIOD_NANOS - 1;
         server.relayResponseTo(
                 this,
                 this::onRelayed,
--- a/src/main/java/ottergauge/transport/OutboundConnection.java
+++ b/src/main/java/ottergauge/transport/OutboundConnection.java
@@ -34,7 +34,7 @@
 final class OutboundConnection extends Connection {
 
     /**
-     * A response: complete, or the part that has arrived when streaming begins.
+     * A response: complete, or only its head when streaming begins.
      *
      * @param contentLength the length that its head announces; negative if none
      * @param reusable whether the connection may carry another request
@@ -49,8 +49,8 @@
      *
      * @param unsizedResponseStarted called when the head of a response without a length has
      *     arrived, with the head and no bytes
-     * @param unsizedResponseProgressed called once when a later read has brought more of it and it
-     *     is still buffered
+     * @param unsizedResponseProgressed called once when more of it has arrived than what came with
+     *     its head, and it is still buffered
      * @param responseStarted called when a response is too large, with its head and first bytes
      * @param responseCompleted called when the last byte of a streamed response has arrived, with
      *     whether the connection is reusable
@@ -89,8 +89,8 @@
     private static final long NANOS_PER_MICRO = 1_000;
     private static final byte[] NO_BYTES = {};
 
-    /** The number of the read that follows the one which brought the head. */
-    private static final int FIRST_READ_AFTER_HEAD = 2;
+    /** Bytes that arrive within this time of the head were written together with it. */
+    private static final long BURST_MICROS = 10_000;
 
     private final HttpFraming.ResponseDecoder decoder;
     private final int maxBodyBytes;
@@ -111,10 +111,12 @@
     private long announcedLength;
     private long headAt;
     private int readsSinceHead;
+    private boolean progressReported;
     private BodyBuffer body;
     private boolean surplusParts;
     private StreamedBody stream;
     private Response streamedResponse;
+    private int bufferedBytes;
     private LongConsumer progressHandler = OutboundConnection::ignoreProgress;
 
     private OutboundConnection(String side, HttpFraming.ResponseDecoder decoder, int maxBodyBytes) {
@@ -250,6 +252,7 @@
         } else if (!interim && streamHandlers != null) {
             headAt = System.nanoTime();
             readsSinceHead = 0;
+            progressReported = false;
             if (announcedLength > maxBodyBytes) {
                 beginStream();
             } else if (!response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
@@ -292,7 +295,9 @@
     // Nothing more is read until the response is relayed to its client.
     private void beginStream() {
         stage = Stage.STREAMING_BODY;
-        stream = new StreamedBody(this, body.bytes(), blocked -> {});
+        byte[] buffered = body.bytes();
+        bufferedBytes = buffered.length;
+        stream = new StreamedBody(this, buffered, blocked -> {});
         body = new BodyBuffer(0);
         streamedResponse = response(body.bytes(), false);
         responseHandler = null;
@@ -322,6 +327,11 @@
         }
     }
 
+    /** How many bytes of the body of the streamed response had arrived when streaming began. */
+    int bufferedBytes() {
+        return bufferedBytes;
+    }
+
     /** The response that is being streamed. */
     Response streamedResponse() {
         return streamedResponse;
@@ -369,7 +379,8 @@
             stream.flush();
         }
         readsSinceHead++;
-        if (readsSinceHead == FIRST_READ_AFTER_HEAD && isBufferingUnsized()) {
+        if (!progressReported && isBufferingUnsized() && hasProgressed()) {
+            progressReported = true;
             streamHandlers.unsizedResponseProgressed().run();
         }
         boolean nothingFollowed = !surplusParts && !decoder.hasMoreBytes();
@@ -389,6 +400,12 @@
         }
     }
 
+    // What a server writes at once may take several reads.
+    private boolean hasProgressed() {
+        return readsSinceHead > 1
+                && (responseBytes > MAX_READ_BYTES || microsSinceHead() >= BURST_MICROS);
+    }
+
     private boolean isBufferingUnsized() {
         return stage == Stage.BUFFERING_BODY
                 && streamHandlers != null
--- a/src/main/java/ottergauge/transport/UpstreamConnector.java
+++ b/src/main/java/ottergauge/transport/UpstreamConnector.java
@@ -98,6 +98,7 @@
                                 new StreamedResponseStarted(
                                         number,
                                         serverResponse(response, reportOf(response)),
+                                        connection.bufferedBytes(),
                                         connection.microsSinceHead())),
                 reusable -> events.accept(new StreamedResponseCompleted(number, reusable)),
                 () -> events.accept(new RequestWritten(number)),
--- a/src/test/java/ottergauge/program/LateBodyIT.java
+++ b/src/test/java/ottergauge/program/LateBodyIT.java
@@ -2,33 +2,40 @@
 package ottergauge.program;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static ottergauge.program.RawHttp.body;
-import static ottergauge.program.RawHttp.checksum;
-import static ottergauge.program.RawHttp.head;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
-import java.io.InputStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import ottergauge.program.ResponseScript.End;
+import ottergauge.program.ResponseScript.Form;
 import ottergauge.program.ResponseScript.Framing;
 import ottergauge.program.ResponseScript.Step;
-import ottergauge.program.RunningNode.Client;
 import ottergauge.protocol.TestConfig;
 
-/** Servers that begin a response and go on with it after a silence, in front of a real process. */
+/**
+ * Servers that begin a response and go on with it after a silence, or never, in front of a real
+ * process.
+ */
 @Timeout(120)
 class LateBodyIT {
 
+    /** What happens to the node in the middle of the responses. */
+    enum Disruption {
+        RELOAD,
+        MAINTENANCE,
+        SHUTDOWN
+    }
+
     private static final String OBJECTIVE = "\"aimMs\":800.0";
     private static final String SHORT_OBJECTIVE = "\"aimMs\":400.0";
     private static final int SERVERS = 8;
@@ -43,6 +50,11 @@
     /** How much later than this a first byte may come. */
     private static final long SLACK_MS = 50;
 
+    /** How much later a final response is still one. */
+    private static final long FINAL_RESPONSE_MS = 500;
+
+    private static final long SLOW_BYTES_PER_SECOND = 64_000;
+
     /** The time between two requests, so that no server has to serve many at once. */
     private static final long STAGGER_MS = 100;
 
@@ -64,7 +76,9 @@
                 scripts.add(ResponseScript.of(framing, LONG, 0, silenceMs));
             }
             for (long silenceMs : new long[] {600, 2_500}) {
-                scripts.add(ResponseScript.of(framing, LONG, 1_000, silenceMs));
+                if (framing == Framing.LENGTH || silenceMs < WAIT_MS) {
+                    scripts.add(ResponseScript.of(framing, LONG, 1_000, silenceMs));
+                }
                 scripts.add(ResponseScript.of(framing, LONG, 40_000, silenceMs));
                 scripts.add(ResponseScript.of(framing, LONG, BUFFER, silenceMs));
                 // A body with a length is complete with its last byte.
@@ -72,14 +86,19 @@
                 scripts.add(ResponseScript.of(framing, LONG, last, silenceMs));
             }
             scripts.add(
-                    new ResponseScript(
+                    ResponseScript.of(
                             framing,
+                            Form.PLAIN,
                             LONG,
-                            List.of(
-                                    new Step(0, 500),
-                                    new Step(1, 500),
-                                    new Step(2, 500),
-                                    new Step(BUFFER + 1, 500))));
+                            new Step(ResponseScript.BEFORE_HEAD, 100),
+                            new Step(0, 500),
+                            new Step(1, 500),
+                            new Step(2, 500),
+                            new Step(BUFFER + 1, 500)));
+            for (Form form : Form.values()) {
+                scripts.add(ResponseScript.of(framing, form, LONG, new Step(0, 700)));
+                scripts.add(ResponseScript.of(framing, form, LONG, new Step(70, 700)));
+            }
         }
         for (Framing framing : List.of(Framing.CHUNKED, Framing.CLOSE)) {
             scripts.add(ResponseScript.of(framing, SHORT, 0, 600));
@@ -89,42 +108,18 @@
         return scripts;
     }
 
-    /**
-     * Guards against a node whose own timers end a response that its server has begun and goes on
-     * with: each response has to arrive whole, and its first byte in time.
-     */
-    @ParameterizedTest
-    @ValueSource(strings = {"read", "pay", "grant"})
-    void responseThatGoesOnAfterASilenceIsRelayedToItsEnd(String requestClass) throws Exception {
-        List<ResponseScript> scripts = scripts();
-        RunningNode node =
-                server.nodeInFrontOf(
-                        folder,
-                        shortObjective(),
-                        SERVERS,
-                        (requestHead, in, out) -> {
-                            body(requestHead, in);
-                            ResponseScript script = scripts.get(scriptOf(requestHead));
-                            Thread.sleep(HEAD_MS);
-                            script.write(out);
-                            if (script.framing() == Framing.CLOSE) {
-                                out.close();
-                            }
-                        });
-        List<Future<String>> failures = new ArrayList<>();
-        for (int i = 0; i < scripts.size(); i++) {
-            int number = i;
-            failures.add(
-                    clients.submit(() -> failure(node, requestClass, number, scripts.get(number))));
-            Thread.sleep(STAGGER_MS);
+    /** Responses that their clients can't get whole. */
+    private static List<ResponseScript> failingScripts() {
+        List<ResponseScript> scripts = new ArrayList<>();
+        for (Framing framing : List.of(Framing.CHUNKED, Framing.CLOSE)) {
+            scripts.add(ResponseScript.of(framing, 500, 500, 0).endedBy(End.NONE));
+            scripts.add(ResponseScript.of(framing, 5_000, 5_000, 0).endedBy(End.NONE));
         }
-        List<String> found = new ArrayList<>();
-        for (Future<String> failure : failures) {
-            if (!failure.get().isEmpty()) {
-                found.add(failure.get());
-            }
+        for (int bytes : new int[] {0, 300}) {
+            scripts.add(
+                    ResponseScript.of(Framing.CHUNKED, SHORT, bytes, 600).endedBy(End.MALFORMED));
         }
-        assertEquals(List.of(), found, node.log());
+        return scripts;
     }
 
     private static TestConfig shortObjective() {
@@ -135,35 +130,148 @@
                         TestConfig.GRANT.replace(OBJECTIVE, SHORT_OBJECTIVE));
     }
 
-    private static int scriptOf(String requestHead) {
-        int at = requestHead.indexOf("do=script-") + "do=script-".length();
-        return Integer.parseInt(requestHead.substring(at, requestHead.indexOf(' ', at)));
+    private RunningNode nodeInFrontOf(List<ResponseScript> scripts, TestConfig config)
+            throws Exception {
+        return server.nodeInFrontOf(
+                folder, config, SERVERS, ScriptedExchange.server(scripts, HEAD_MS));
+    }
+
+    private interface Exchange {
+        /** What is wrong with the exchange of this number; empty if nothing is. */
+        String fault(int number) throws Exception;
+    }
+
+    /** Starts an exchange for each script, one after another. */
+    private List<Future<String>> start(List<ResponseScript> scripts, Exchange exchange)
+            throws InterruptedException {
+        List<Future<String>> faults = new ArrayList<>();
+        for (int i = 0; i < scripts.size(); i++) {
+            int number = i;
+            faults.add(clients.submit(() -> exchange.fault(number)));
+            Thread.sleep(STAGGER_MS);
+        }
+        return faults;
+    }
+
+    private static void assertNoFaults(
+            RunningNode node, List<ResponseScript> scripts, List<Future<String>> faults)
+            throws Exception {
+        List<String> found = new ArrayList<>();
+        for (int i = 0; i < faults.size(); i++) {
+            String fault = faults.get(i).get();
+            if (!fault.isEmpty()) {
+                found.add(scripts.get(i) + ": " + fault);
+            }
+        }
+        assertEquals(List.of(), found, node.log());
+    }
+
+    /**
+     * Guards against a node whose own timers end a response that its server has begun and goes on
+     * with: each response has to arrive whole, and its first byte in time.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"read", "pay", "grant"})
+    void responseThatGoesOnAfterASilenceIsRelayedToItsEnd(String requestClass) throws Exception {
+        List<ResponseScript> scripts = scripts();
+        RunningNode node = nodeInFrontOf(scripts, shortObjective());
+        assertNoFaults(
+                node,
+                scripts,
+                start(
+                        scripts,
+                        i ->
+                                ScriptedExchange.run(node, requestClass, i, scripts.get(i))
+                                        .faultOfWhole(WAIT_MS + SLACK_MS)));
+    }
+
+    /** The same while the request is large too and the client reads slowly. */
+    @ParameterizedTest
+    @ValueSource(strings = {"pay", "grant"})
+    void responseToALargeRequestIsRelayedToASlowClient(String requestClass) throws Exception {
+        List<ResponseScript> scripts =
+                scripts().stream().filter(script -> script.form() == Form.PLAIN).toList();
+        RunningNode node = nodeInFrontOf(scripts, shortObjective());
+        assertNoFaults(
+                node,
+                scripts,
+                start(
+                        scripts,
+                        i ->
+                                ScriptedExchange.run(
+                                                node,
+                                                requestClass,
+                                                i,
+                                                scripts.get(i),
+                                                2 * BUFFER,
+                                                SLOW_BYTES_PER_SECOND)
+                                        .faultOfWhole(WAIT_MS + SLACK_MS)));
+    }
+
+    /**
+     * Guards against a client that waits for a response which its server does not end, or spoils:
+     * it gets a final response, or an end before the last byte, within its time and half a second.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"read", "pay", "grant"})
+    void responseThatNeverEndsWholeFailsInTime(String requestClass) throws Exception {
+        List<ResponseScript> scripts = failingScripts();
+        RunningNode node = nodeInFrontOf(scripts, shortObjective());
+        assertNoFaults(
+                node,
+                scripts,
+                start(
+                        scripts,
+                        i ->
+                                ScriptedExchange.run(node, requestClass, i, scripts.get(i))
+                                        .faultOfFailed(WAIT_MS + FINAL_RESPONSE_MS)));
     }
 
-    /** Sends a request; returns what is wrong with the response to it, or an empty text. */
-    private static String failure(
-            RunningNode node, String requestClass, int number, ResponseScript script) {
-        try (Client client = node.client()) {
-            long sentAt = System.nanoTime();
-            client.write(Client.request(requestClass, "script-" + number, ""));
-            InputStream in = client.socket().getInputStream();
-            String responseHead = head(in);
-            long firstByteMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt);
-            if (responseHead == null || !responseHead.startsWith("HTTP/1.1 200")) {
-                return script + ": " + responseHead + " after " + firstByteMs + " ms";
+    /**
+     * Guards against responses that end with a reload, a maintenance or the start of a shutdown.
+     */
+    @ParameterizedTest
+    @EnumSource(Disruption.class)
+    void responseIsRelayedToItsEndInSpiteOfADisruption(Disruption disruption) throws Exception {
+        List<ResponseScript> scripts = new ArrayList<>();
+        for (Framing framing : Framing.values()) {
+            for (int bytes : new int[] {0, 1_000, 40_000, BUFFER}) {
+                scripts.add(ResponseScript.of(framing, LONG, bytes, 700));
             }
-            byte[] received = body(responseHead, in);
-            if (received == null) {
-                return script + ": cut off";
+        }
+        int adminPort = RunningNode.freePort();
+        TestConfig config = shortObjective().withAdminListener("127.0.0.1:" + adminPort);
+        RunningNode node = nodeInFrontOf(scripts, config);
+        List<Future<String>> faults = new ArrayList<>();
+        for (int i = 0; i < scripts.size(); i++) {
+            int number = i;
+            faults.add(
+                    clients.submit(
+                            () ->
+                                    ScriptedExchange.run(node, "grant", number, scripts.get(number))
+                                            .faultOfWhole(WAIT_MS + SLACK_MS)));
+        }
+        Thread.sleep(HEAD_MS + 2 * STAGGER_MS);
+        disrupt(node, disruption, adminPort);
+        assertNoFaults(node, scripts, faults);
+        if (disruption == Disruption.SHUTDOWN) {
+            node.exitCode();
+            assertTrue(node.log().contains("all pending requests responded to"), node.log());
+        }
+    }
+
+    private void disrupt(RunningNode node, Disruption disruption, int adminPort) throws Exception {
+        switch (disruption) {
+            case RELOAD -> {
+                node.signal("HUP");
+                node.awaitLog("reloads its configuration");
             }
-            if (!checksum(script.body()).equals(checksum(received))) {
-                return script + ": not what the server sent";
+            case MAINTENANCE -> {
+                for (int i = 1; i <= SERVERS; i++) {
+                    AdminClient.call(adminPort, "POST /servers/s-" + i + "/maint");
+                }
             }
-            return firstByteMs <= WAIT_MS + SLACK_MS
-                    ? ""
-                    : script + ": first byte after " + firstByteMs + " ms";
-        } catch (IOException e) {
-            return script + ": " + e;
+            case SHUTDOWN -> node.signal("TERM");
         }
     }
 }
--- a/src/test/java/ottergauge/routing/StreamingTest.java
+++ b/src/test/java/ottergauge/routing/StreamingTest.java
@@ -54,6 +54,7 @@
         return new Event.StreamedResponseStarted(
                 connection,
                 new ServerResponse(200, false, LoadReport.NONE, Content.NONE, false),
+                0,
                 0);
     }
 
--- a/src/test/java/ottergauge/routing/UnsizedResponsesTest.java
+++ b/src/test/java/ottergauge/routing/UnsizedResponsesTest.java
@@ -6,12 +6,14 @@
 import static ottergauge.protocol.TestConfig.endpointJson;
 import static ottergauge.protocol.TestConfig.requestClass;
 
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import ottergauge.decision.api.LoadReport;
 import ottergauge.protocol.Content;
 import ottergauge.protocol.TestConfig;
+import ottergauge.routing.Effect.CloseClient;
 import ottergauge.routing.Effect.CloseUpstream;
 import ottergauge.routing.Effect.ConnectUpstream;
 import ottergauge.routing.Effect.Forward;
@@ -51,12 +53,13 @@
         return forward;
     }
 
-    private static void beginStreaming(RouterDriver node, long connection) {
+    private static void beginStreaming(RouterDriver node, long connection, int bufferedBytes) {
         node.handle(
                 new Event.StreamedResponseStarted(
                         connection,
                         new ServerResponse(200, false, LoadReport.NONE, Content.NONE, false),
-                        0));
+                        bufferedBytes,
+                        TimeUnit.MILLISECONDS.toMicros(OBJECTIVE_MS)));
     }
 
     /** Sends a request whose response stops after its head, until the retry is sent. */
@@ -81,13 +84,68 @@
         Forward forward = beginResponse(node, node.forwardOnNewConnection(requestClass));
         node.advanceMs(OBJECTIVE_MS);
         assertEquals(forward.connection(), node.expect(StreamResponse.class).connection());
-        beginStreaming(node, forward.connection());
+        beginStreaming(node, forward.connection(), 0);
         assertEquals(forward.connection(), node.expect(RelayResponse.class).connection());
         node.advanceMs(5_000);
         node.handle(new Event.StreamedResponseCompleted(forward.connection(), false));
         node.expectNo(Respond.class);
     }
 
+    /**
+     * Guards against a client that waits for a server which has failed to mark the end of its
+     * response: within half a second after its deadline the client can tell that it failed.
+     */
+    @Test
+    void responseThatNeverGoesOnAfterItsFirstBytes_endsRecognizablyInTime() {
+        Forward forward = beginResponse(node, node.forwardOnNewConnection("grant"));
+        node.advanceMs(OBJECTIVE_MS);
+        beginStreaming(node, forward.connection(), 11);
+        node.expect(RelayResponse.class);
+        node.advanceMs(WAIT_MS - OBJECTIVE_MS + 200);
+        node.expectNo(CloseClient.class);
+        node.advanceMs(300);
+        assertEquals(CloseReason.SERVER_SILENT, node.expect(CloseClient.class).reason());
+        assertEquals(
+                new CloseUpstream(forward.connection(), CloseReason.SERVER_SILENT),
+                node.expect(CloseUpstream.class));
+    }
+
+    /** Guards against a timer of an earlier response on the same connection. */
+    @Test
+    void laterResponseOnTheConnection_isNotEndedForTheEarlierOne() {
+        RouterDriver node =
+                new RouterDriver(
+                        new TestConfig()
+                                .withEndpoints(endpointJson("s-1", "10.1.0.1:3000", "in_service")));
+        node.letClientsReadAll();
+        Forward earlier = beginResponse(node, node.forwardOnNewConnection("grant"));
+        node.advanceMs(OBJECTIVE_MS);
+        beginStreaming(node, earlier.connection(), 11);
+        node.handle(new Event.StreamedResponseCompleted(earlier.connection(), true));
+        Forward later = beginResponse(node, node.forwardOnIdleConnection("grant"));
+        assertEquals(earlier.connection(), later.connection());
+        node.handle(new Event.UnsizedResponseProgressed(later.connection()));
+        node.advanceMs(OBJECTIVE_MS / 2 - 1);
+        beginStreaming(node, later.connection(), 11);
+        node.advanceMs(WAIT_MS);
+        node.expectNo(CloseClient.class);
+    }
+
+    /** The same response, which goes on: it is not ended. */
+    @Test
+    void responseThatGoesOnAfterItsFirstBytes_isRelayedToItsEnd() {
+        node.letClientsReadAll();
+        long client = node.request("grant");
+        Forward forward = beginResponse(node, node.connectNext());
+        node.advanceMs(OBJECTIVE_MS);
+        beginStreaming(node, forward.connection(), 11);
+        node.advanceMs(100);
+        node.handle(new Event.BodyProgress(client, 1));
+        node.advanceMs(12_000);
+        node.expectNo(CloseClient.class);
+        node.expectNo(CloseUpstream.class);
+    }
+
     /** A response that goes on after the buffering time, but before the timeout, is streamed. */
     @Test
     void responseThatGoesOnLate_isStreamedAtOnce() {
@@ -145,7 +203,7 @@
         Forward[] attempts = beginAndRetry(node);
         node.advanceMs(600);
         assertEquals(attempts[0].connection(), node.expect(StreamResponse.class).connection());
-        beginStreaming(node, attempts[0].connection());
+        beginStreaming(node, attempts[0].connection(), 0);
         node.expect(RelayResponse.class);
         assertEquals(
                 new CloseUpstream(attempts[1].connection(), CloseReason.CANCELLED),
@@ -217,7 +275,7 @@
         RouterDriver node = new RouterDriver(twoServers(), 2 * 64 * 1024);
         for (int i = 0; i < 2; i++) {
             Forward forward = beginResponse(node, node.forwardOnNewConnection("read"));
-            beginStreaming(node, forward.connection());
+            beginStreaming(node, forward.connection(), 0);
             node.expect(RelayResponse.class);
         }
         long client = node.client();
