--- a/src/main/java/ottergauge/decision/request/RepeatRules.java
+++ b/src/main/java/ottergauge/decision/request/RepeatRules.java
@@ -82,12 +82,13 @@
 
     /**
      * Returns whether some server may get another attempt after an outstanding one that its server
-     * may have executed.
+     * may have executed. That can end before its response, which is a cancellation.
      */
     public static boolean mayRetryAfter(Attempt attempt, long now) {
         Request request = attempt.request();
         return !request.isComplete()
                 && !request.isUnrepeatable()
+                && request.limits().cancellationAllowed()
                 && request.attempts() < request.limits().maxAttempts()
                 && mayRepeatWithin(attempt, request.requestClass().deduplicationWindow(), now);
     }
--- a/src/main/java/ottergauge/routing/UnsizedResponses.java
+++ b/src/main/java/ottergauge/routing/UnsizedResponses.java
@@ -61,14 +61,13 @@
      */
     boolean begun(long now, Attempt attempt, int status, boolean neverRan) {
         boolean served = AttemptResults.ofResponse(status, neverRan) == AttemptResult.SERVED;
-        if (!served || attempt.isProbe() || !attempt.sendCompleted) {
+        if (!served || attempt.isProbe() || !attempt.sendCompleted || attempt.request.finished) {
             return false;
         }
         attempt.responseBegunAt = now;
-        attempt.dueAt =
-                Math.min(
-                        attempt.dueAt,
-                        Math.min(now + MAX_BUFFERING_MICROS, lastRelayStart(now, attempt.request)));
+        long lastRelayStart = lastRelayStart(now, attempt.request);
+        long endAt = Math.min(now + MAX_BUFFERING_MICROS, lastRelayStart);
+        attempt.dueAt = Math.min(attempt.dueAt, Math.max(now + 1, endAt));
         effects.accept(
                 new StartTimer(
                         Math.max(1, (attempt.dueAt - now) / 2),
--- a/src/main/java/ottergauge/routing/package-info.java
+++ b/src/main/java/ottergauge/routing/package-info.java
@@ -11,6 +11,7 @@
  * <ul>
  *   <li>{@code DownstreamConnections}: clients' connections and their timeouts.
  *   <li>{@code RequestHandler} with {@code InFlightRequests}: requests from arrival to response.
+ *   <li>{@code UnsizedResponses}: responses of unknown length until they are complete or streamed.
  *   <li>{@code StreamedResponses} and {@code StreamBudget}: bodies that are not buffered.
  *   <li>{@code Attempts}: attempts and probes from the decision to their result.
  *   <li>{@code UpstreamPool} with {@code ServerPool}, {@code PooledConnection} and {@code
--- a/src/test/java/ottergauge/routing/UnsizedResponsesTest.java
+++ b/src/test/java/ottergauge/routing/UnsizedResponsesTest.java
@@ -40,11 +40,14 @@
 
     /** A node whose idempotent class has time for a retry after a second. */
     private static RouterDriver nodeWithLongObjective() {
+        return nodeWithLongObjective(twoServers());
+    }
+
+    private static RouterDriver nodeWithLongObjective(TestConfig config) {
         return new RouterDriver(
-                twoServers()
-                        .classes(
-                                requestClass("read", "free", LONG_WAIT_MS)
-                                        .replace("\"aimMs\":800.0", "\"aimMs\":2900.0")));
+                config.classes(
+                        requestClass("read", "free", LONG_WAIT_MS)
+                                .replace("\"aimMs\":800.0", "\"aimMs\":2900.0")));
     }
 
     private static Forward beginResponse(RouterDriver node, Forward forward) {
@@ -196,6 +199,19 @@
         node.expectNo(Respond.class);
     }
 
+    /** Guards against a cancellation by settings that allow none: there is no retry then. */
+    @Test
+    void responseThatStops_isStreamedWithoutARetry_ifCancellationIsNotAllowed() {
+        RouterDriver node = nodeWithLongObjective(twoServers().withoutCancellation());
+        node.request(node.client(), "read", LONG_WAIT_MS);
+        Forward forward = beginResponse(node, node.connectNext());
+        node.advanceMs(1_000);
+        assertEquals(forward.connection(), node.expect(StreamResponse.class).connection());
+        node.advanceMs(LONG_WAIT_MS - 1_000);
+        node.expectNo(ConnectUpstream.class);
+        node.expectNo(CloseUpstream.class);
+    }
+
     /** Guards against bytes that are held back for 2 s while a retry gets no response either. */
     @Test
     void fallbackIsStreamed_ifTheRetryGetsNoResponseSoon() {
