--- a/src/test/java/ottergauge/program/LateBodyIT.java
+++ b/src/test/java/ottergauge/program/LateBodyIT.java
@@ -33,7 +33,9 @@
     enum Disruption {
         RELOAD,
         MAINTENANCE,
-        SHUTDOWN
+        SHUTDOWN,
+        /** The same while another process of the node takes its clients. */
+        HANDOVER
     }
 
     private static final String OBJECTIVE = "\"aimMs\":800.0";
@@ -242,6 +244,9 @@
         int adminPort = RunningNode.freePort();
         TestConfig config = shortObjective().withAdminListener("127.0.0.1:" + adminPort);
         RunningNode node = nodeInFrontOf(scripts, config);
+        if (disruption == Disruption.HANDOVER) {
+            startSecondProcess(node, config);
+        }
         List<Future<String>> faults = new ArrayList<>();
         for (int i = 0; i < scripts.size(); i++) {
             int number = i;
@@ -254,12 +259,25 @@
         Thread.sleep(HEAD_MS + 2 * STAGGER_MS);
         disrupt(node, disruption, adminPort);
         assertNoFaults(node, scripts, faults);
-        if (disruption == Disruption.SHUTDOWN) {
+        if (disruption == Disruption.SHUTDOWN || disruption == Disruption.HANDOVER) {
             node.exitCode();
             assertTrue(node.log().contains("all pending requests responded to"), node.log());
         }
     }
 
+    private void startSecondProcess(RunningNode node, TestConfig config) throws Exception {
+        String address = node.address();
+        int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+        int adminPort = RunningNode.freePort();
+        server.closeAtEnd(
+                RunningNode.ready(
+                        folder,
+                        config.withAdminListener("127.0.0.1:" + adminPort),
+                        ScriptedServer.UNREACHABLE,
+                        port));
+        node.awaitLog("runs beside another process");
+    }
+
     private void disrupt(RunningNode node, Disruption disruption, int adminPort) throws Exception {
         switch (disruption) {
             case RELOAD -> {
@@ -271,7 +289,7 @@
                     AdminClient.call(adminPort, "POST /servers/s-" + i + "/maint");
                 }
             }
-            case SHUTDOWN -> node.signal("TERM");
+            case SHUTDOWN, HANDOVER -> node.signal("TERM");
         }
     }
 }
--- a/src/test/java/ottergauge/program/ScriptedServer.java
+++ b/src/test/java/ottergauge/program/ScriptedServer.java
@@ -33,7 +33,8 @@
                 throws IOException, InterruptedException;
     }
 
-    private static final String UNREACHABLE = "127.0.0.1:1";
+    /** An address of discovery at which nothing listens. */
+    static final String UNREACHABLE = "127.0.0.1:1";
 
     /** Responds with the checksum of the request body. */
     static final Behaviour ECHO =
