A response that may lack its end is refused, not streamed, unless it goes on

The test is right: a spoilt response must not be passed on.

Change: the transport reports bytes that come with the head. Such a response is streamed only once it goes on. When its attempt has ended it is the request's fallback until 50 ms before the client's time is over; then the request gets its refusal. The truncation after the deadline and its timer are gone.

--- a/src/main/java/ottergauge/routing/Attempt.java
+++ b/src/main/java/ottergauge/routing/Attempt.java
@@ -43,6 +43,9 @@
     /** When the head of its response arrived, if the response is of unknown length. */
     long responseBegunAt = NOT_BEGUN;
 
+    /** Whether bytes of the body of a response of unknown length have arrived with its head. */
+    boolean bodyBegunWithHead;
+
     /** Whether more of a response of unknown length has arrived than what came with its head. */
     boolean responseProgressed;
 
@@ -80,6 +83,14 @@
         return responseBegunAt != NOT_BEGUN;
     }
 
+    /**
+     * Whether the first bytes of its response, which is of unknown length, came with the head and
+     * none since. Its server may have failed to mark the end.
+     */
+    boolean mayLackItsEnd() {
+        return bodyBegunWithHead && !responseProgressed;
+    }
+
     /** Whether its request's body is being streamed to the server. */
     boolean isStreamingRequest() {
         return !isProbe() && request.streamed && sendStarted && !sendCompleted;
--- a/src/main/java/ottergauge/routing/DownstreamConnections.java
+++ b/src/main/java/ottergauge/routing/DownstreamConnections.java
@@ -63,9 +63,6 @@
         /** When the response that is relayed to it last made progress. */
         long relayProgressAt;
 
-        /** Whether more of that response has come since it began to be relayed. */
-        boolean relayProgressed;
-
         /** Whether a response has been written to it before. */
         boolean reused;
 
@@ -182,7 +179,6 @@
         } else if (connection.stage == Stage.WRITING_RESPONSE) {
             boolean relaying = connection.request != null;
             connection.relayProgressAt = now;
-            connection.relayProgressed = true;
             connection.closeAt =
                     now + (relaying ? STREAM_STALL_TIMEOUT_MICROS : BODY_STALL_TIMEOUT_MICROS);
         }
@@ -279,18 +275,11 @@
         setBuffer(connection, 0);
         connection.reused = true;
         connection.relayProgressAt = now;
-        connection.relayProgressed = false;
         connection.closeAt = now + STREAM_STALL_TIMEOUT_MICROS;
         effects.accept(new RelayResponse(client, upstream, closesAfterResponses));
         return true;
     }
 
-    /** Whether more of the response that is relayed to a client has come since that began. */
-    boolean hasRelayProgressed(long client) {
-        Connection connection = connections.get(client);
-        return connection != null && connection.relayProgressed;
-    }
-
     /**
      * The last byte of a streamed response has been passed to the client's connection, but may not
      * be written yet.
--- a/src/main/java/ottergauge/routing/Event.java
+++ b/src/main/java/ottergauge/routing/Event.java
@@ -118,6 +118,9 @@
      */
     record UnsizedResponseStarted(long connection, int status, boolean neverRan) implements Event {}
 
+    /** Bytes of the body of a response of unknown length have arrived together with its head. */
+    record UnsizedBodyStarted(long connection) implements Event {}
+
     /**
      * More of a response of unknown length, which is being buffered, has arrived than what came
      * with its head. Reported once for each response.
@@ -127,11 +130,9 @@
     /**
      * A response is too large to be buffered; the rest of its body has not been read.
      *
-     * @param bufferedBytes how many bytes of its body have arrived
      * @param sinceHeadMicros how long ago its head arrived
      */
-    record StreamedResponseStarted(
-            long connection, ServerResponse response, int bufferedBytes, long sinceHeadMicros)
+    record StreamedResponseStarted(long connection, ServerResponse response, long sinceHeadMicros)
             implements Event {}
 
     /** The last byte of a streamed response has been passed to the client's connection. */
--- a/src/main/java/ottergauge/routing/InFlightRequest.java
+++ b/src/main/java/ottergauge/routing/InFlightRequest.java
@@ -54,6 +54,9 @@
      */
     Attempt fallback;
 
+    /** Whether the fallback is not held back any longer. */
+    boolean fallbackDue;
+
     /** The final response if the fallback, which is about to be streamed, ends first; or null. */
     Refusal postponedRefusal;
 
--- a/src/main/java/ottergauge/routing/RequestHandler.java
+++ b/src/main/java/ottergauge/routing/RequestHandler.java
@@ -304,16 +304,6 @@
                 .ifPresent(request -> truncateSilent(now, request));
     }
 
-    /** Ends the relay of a response of which nothing has come since it began to be relayed. */
-    void endUnlessProgressed(long now, Attempt attempt) {
-        InFlightRequest request = attempt.request;
-        if (request != null
-                && request.relaying == attempt
-                && !clients.hasRelayProgressed(request.client)) {
-            truncateSilent(now, request);
-        }
-    }
-
     private void truncateSilent(long now, InFlightRequest request) {
         stopRelaying(now, request, CloseReason.SERVER_SILENT);
         metrics.failed(request.requestClass);
@@ -370,6 +360,14 @@
         }
     }
 
+    /** A request's fallback is not waited for any longer: a postponed refusal is sent. */
+    void refusePostponed(long now, String id) {
+        InFlightRequest request = requests.get(id);
+        if (request != null && request.postponedRefusal != null) {
+            respond(now, id, request.postponedRefusal);
+        }
+    }
+
     private static boolean removeFallback(Attempt attempt) {
         boolean isFallback = !attempt.isProbe() && attempt.request.fallback == attempt;
         if (isFallback) {
--- a/src/main/java/ottergauge/routing/Router.java
+++ b/src/main/java/ottergauge/routing/Router.java
@@ -115,8 +115,7 @@
                         decisionEvents::add,
                         effects);
         streamedResponses =
-                new StreamedResponses(
-                        requests, attempts, clients, upstreams, streams, unsizedResponses, metrics);
+                new StreamedResponses(requests, attempts, clients, upstreams, streams, metrics);
         admin =
                 new AdminState(
                         metrics,
@@ -215,6 +214,10 @@
                             attempt ->
                                     attempts.unsizedResponseBegun(
                                             now, attempt, e.status(), e.neverRan()));
+        } else if (event instanceof Event.UnsizedBodyStarted e) {
+            upstreams
+                    .attemptOn(e.connection())
+                    .ifPresent(attempt -> attempt.bodyBegunWithHead = true);
         } else if (event instanceof Event.UnsizedResponseProgressed e) {
             upstreams
                     .attemptOn(e.connection())
@@ -285,13 +288,10 @@
                     .ifPresent(attempt -> attempts.connectTimedOut(now, attempt));
         } else if (timer instanceof Timer.ResponseBufferTimeout timeout) {
             unsizedResponses.bufferTimedOut(timeout.connection(), timeout.attempt());
-        } else if (timer instanceof Timer.UnendedResponseDue due) {
-            upstreams
-                    .attemptOn(due.connection())
-                    .filter(attempt -> attempt.number == due.attempt())
-                    .ifPresent(attempt -> requests.endUnlessProgressed(now, attempt));
         } else if (timer instanceof Timer.FallbackDue due) {
-            unsizedResponses.fallbackDue(due.request(), due.attempt());
+            if (unsizedResponses.fallbackDue(due.request(), due.attempt())) {
+                requests.refusePostponed(now, due.request());
+            }
         } else if (timer instanceof Timer.PollTimeout timeout) {
             endpoints.watch().pollTimedOut(now, timeout.poll());
         } else if (timer instanceof Timer.NextPoll next) {
--- a/src/main/java/ottergauge/routing/StreamedResponses.java
+++ b/src/main/java/ottergauge/routing/StreamedResponses.java
@@ -13,7 +13,6 @@
     private final DownstreamConnections clients;
     private final UpstreamPool upstreams;
     private final StreamBudget streams;
-    private final UnsizedResponses unsizedResponses;
     private final Metrics metrics;
 
     StreamedResponses(
@@ -22,14 +21,12 @@
             DownstreamConnections clients,
             UpstreamPool upstreams,
             StreamBudget streams,
-            UnsizedResponses unsizedResponses,
             Metrics metrics) {
         this.requests = requests;
         this.attempts = attempts;
         this.clients = clients;
         this.upstreams = upstreams;
         this.streams = streams;
-        this.unsizedResponses = unsizedResponses;
         this.metrics = metrics;
     }
 
@@ -57,7 +54,6 @@
             requests.relayStarted(now, attempt);
             metrics.relayStarted();
             streams.add(request);
-            unsizedResponses.relayStarted(now, attempt, event.bufferedBytes());
         } else {
             upstreams.abandon(now, attempt, CloseReason.NOT_REUSABLE);
             requests.fallbackEnded(now, attempt);
--- a/src/main/java/ottergauge/routing/Timer.java
+++ b/src/main/java/ottergauge/routing/Timer.java
@@ -22,12 +22,6 @@
     /** A request's fallback, the response to this attempt, is not held back any longer. */
     record FallbackDue(String request, long attempt) implements Timer {}
 
-    /**
-     * The response to this attempt, which is being relayed, must have gone on by now, if all of it
-     * that has come was with its head.
-     */
-    record UnendedResponseDue(long connection, long attempt) implements Timer {}
-
     /** Time to close connections that have been idle or without progress for too long. */
     record Sweep() implements Timer {}
 
--- a/src/main/java/ottergauge/routing/UnsizedResponses.java
+++ b/src/main/java/ottergauge/routing/UnsizedResponses.java
@@ -27,8 +27,6 @@
     // The first byte has to reach the client while it still waits.
     private static final long DEADLINE_MARGIN_MICROS = 50_000;
     private static final int DEADLINE_MARGIN_DIVISOR = 4;
-    // A client gets its final response within half a second after its deadline.
-    private static final long UNENDED_RESPONSE_MICROS = 300_000;
 
     private final InFlightRequests requests;
     private final UpstreamPool upstreams;
@@ -116,6 +114,7 @@
      */
     boolean streamAtTimeout(long now, Attempt attempt) {
         return attempt.hasResponseBegun()
+                && !attempt.mayLackItsEnd()
                 && attempt.request.fallback == null
                 && !decisions.mightRetry(now, attempt.request.id, attempt.index)
                 && stream(attempt);
@@ -144,10 +143,12 @@
         InFlightRequest request = attempt.request;
         request.fallback = attempt;
         attempt.bufferingOver = true;
+        long lastRelayStart = lastRelayStart(now, request);
         long streamAt =
-                Math.min(
-                        attempt.responseBegunAt + MAX_FALLBACK_WAIT_MICROS,
-                        lastRelayStart(now, request));
+                attempt.mayLackItsEnd()
+                        ? lastRelayStart
+                        : Math.min(
+                                attempt.responseBegunAt + MAX_FALLBACK_WAIT_MICROS, lastRelayStart);
         effects.accept(
                 new StartTimer(
                         Math.max(1, streamAt - now),
@@ -156,43 +157,38 @@
     }
 
     /**
-     * A response begins to be relayed. If it is one whose server sent the first bytes of its body
-     * with the head and nothing since, that server may have failed to mark the end. Its client must
-     * learn of the failure soon after its deadline.
+     * No other attempt was served in time: the fallback is streamed, if there still is one and its
+     * server can't have failed to mark its end.
      *
-     * @param bodyBytes how many bytes of the body have arrived
+     * @return whether it may lack its end, so that it is not waited for any longer
      */
-    void relayStarted(long now, Attempt attempt, int bodyBytes) {
-        if (attempt.hasResponseBegun() && !attempt.responseProgressed && bodyBytes > 0) {
-            long endAt = attempt.request.deadline + UNENDED_RESPONSE_MICROS;
-            effects.accept(
-                    new StartTimer(
-                            Math.max(1, endAt - now),
-                            new Timer.UnendedResponseDue(
-                                    attempt.connection.number, attempt.number)));
-        }
-    }
-
-    /** No other attempt was served in time: the fallback is streamed, if there still is one. */
-    void fallbackDue(String id, long attemptNumber) {
+    boolean fallbackDue(String id, long attemptNumber) {
         InFlightRequest request = requests.get(id);
-        if (request != null
-                && request.fallback != null
-                && request.fallback.number == attemptNumber) {
+        if (request == null
+                || request.fallback == null
+                || request.fallback.number != attemptNumber) {
+            return false;
+        }
+        request.fallbackDue = true;
+        if (!request.fallback.mayLackItsEnd()) {
             stream(request.fallback);
         }
+        return request.fallback.mayLackItsEnd();
     }
 
     /**
      * A request is to be refused. If it has a fallback, that is streamed in place of the refusal,
-     * which is kept in case the fallback ends first.
+     * which is kept in case the fallback ends first. One that may lack its end is streamed when it
+     * goes on, if it does in time.
      *
      * @return whether the refusal is postponed
      */
     boolean streamInsteadOf(long now, InFlightRequest request, Refusal refusal) {
-        if (request.fallback == null
-                || now >= shutdown.lastResponseAt()
-                || !stream(request.fallback)) {
+        if (request.fallback == null || now >= shutdown.lastResponseAt()) {
+            return false;
+        }
+        boolean waits = request.fallback.mayLackItsEnd() && !request.fallbackDue;
+        if (!waits && (request.fallback.mayLackItsEnd() || !stream(request.fallback))) {
             return false;
         }
         request.postponedRefusal = refusal;
--- a/src/main/java/ottergauge/transport/OutboundConnection.java
+++ b/src/main/java/ottergauge/transport/OutboundConnection.java
@@ -49,8 +49,8 @@
      *
      * @param unsizedResponseStarted called when the head of a response without a length has
      *     arrived, with the head and no bytes
-     * @param unsizedResponseProgressed called once when more of it has arrived than what came with
-     *     its head, and it is still buffered
+     * @param unsizedBodyArrived called when bytes of its body have arrived and it is still
+     *     buffered, with whether they are more than what came with its head; not again after that
      * @param responseStarted called when a response is too large, with its head and first bytes
      * @param responseCompleted called when the last byte of a streamed response has arrived, with
      *     whether the connection is reusable
@@ -59,7 +59,7 @@
      */
     record StreamHandlers(
             Consumer<Response> unsizedResponseStarted,
-            Runnable unsizedResponseProgressed,
+            Consumer<Boolean> unsizedBodyArrived,
             Consumer<Response> responseStarted,
             Consumer<Boolean> responseCompleted,
             Runnable requestWritten,
@@ -379,9 +379,9 @@
             stream.flush();
         }
         readsSinceHead++;
-        if (!progressReported && isBufferingUnsized() && hasProgressed()) {
-            progressReported = true;
-            streamHandlers.unsizedResponseProgressed().run();
+        if (!progressReported && responseBytes > 0 && isBufferingUnsized()) {
+            progressReported = hasProgressed();
+            streamHandlers.unsizedBodyArrived().accept(progressReported);
         }
         boolean nothingFollowed = !surplusParts && !decoder.hasMoreBytes();
         if (stage == Stage.RECEIVED) {
--- a/src/main/java/ottergauge/transport/UpstreamConnector.java
+++ b/src/main/java/ottergauge/transport/UpstreamConnector.java
@@ -26,6 +26,7 @@
 import ottergauge.routing.Event.ServerResponse;
 import ottergauge.routing.Event.StreamedResponseCompleted;
 import ottergauge.routing.Event.StreamedResponseStarted;
+import ottergauge.routing.Event.UnsizedBodyStarted;
 import ottergauge.routing.Event.UnsizedResponseProgressed;
 import ottergauge.routing.Event.UnsizedResponseStarted;
 import ottergauge.routing.Event.UpstreamClosed;
@@ -92,13 +93,16 @@
                         events.accept(
                                 new UnsizedResponseStarted(
                                         number, response.status(), saysNeverRan(response))),
-                () -> events.accept(new UnsizedResponseProgressed(number)),
+                more ->
+                        events.accept(
+                                more
+                                        ? new UnsizedResponseProgressed(number)
+                                        : new UnsizedBodyStarted(number)),
                 response ->
                         events.accept(
                                 new StreamedResponseStarted(
                                         number,
                                         serverResponse(response, reportOf(response)),
-                                        connection.bufferedBytes(),
                                         connection.microsSinceHead())),
                 reusable -> events.accept(new StreamedResponseCompleted(number, reusable)),
                 () -> events.accept(new RequestWritten(number)),
--- a/src/test/java/ottergauge/routing/ResponsePhasesTest.java
+++ b/src/test/java/ottergauge/routing/ResponsePhasesTest.java
@@ -82,7 +82,6 @@
                     new Event.StreamedResponseStarted(
                             connection,
                             new ServerResponse(200, false, LoadReport.NONE, Content.NONE, false),
-                            0,
                             0));
             node.expect(RelayResponse.class);
         }
--- a/src/test/java/ottergauge/routing/StreamingTest.java
+++ b/src/test/java/ottergauge/routing/StreamingTest.java
@@ -54,7 +54,6 @@
         return new Event.StreamedResponseStarted(
                 connection,
                 new ServerResponse(200, false, LoadReport.NONE, Content.NONE, false),
-                0,
                 0);
     }
 
