A begun response that finds no free stream is followed by its refusal

Found by reading, before a caller met it: a request whose refusal waits for a response that may lack its end got no final response if that went on while all streams were taken and its server then stayed silent.

Change: when the fallback is due and can't be streamed, the postponed refusal is sent.

--- a/src/main/java/ottergauge/routing/UnsizedResponses.java
+++ b/src/main/java/ottergauge/routing/UnsizedResponses.java
@@ -157,10 +157,10 @@
     }
 
     /**
-     * No other attempt was served in time: the fallback is streamed, if there still is one and its
-     * server can't have failed to mark its end.
+     * No other attempt was served in time: the fallback is streamed, if there still is one, its
+     * server can't have failed to mark its end, and a stream is free.
      *
-     * @return whether it may lack its end, so that it is not waited for any longer
+     * @return whether the request has a fallback that is not streamed
      */
     boolean fallbackDue(String id, long attemptNumber) {
         InFlightRequest request = requests.get(id);
@@ -170,10 +170,7 @@
             return false;
         }
         request.fallbackDue = true;
-        if (!request.fallback.mayLackItsEnd()) {
-            stream(request.fallback);
-        }
-        return request.fallback.mayLackItsEnd();
+        return request.fallback.mayLackItsEnd() || !stream(request.fallback);
     }
 
     /**
--- a/src/test/java/ottergauge/routing/UnsizedResponsesTest.java
+++ b/src/test/java/ottergauge/routing/UnsizedResponsesTest.java
@@ -298,4 +298,24 @@
         node.advanceMs(OBJECTIVE_MS);
         assertEquals(502, node.status(client));
     }
+
+    /** The same for a response that goes on while its request waits for it. */
+    @Test
+    void fallbackThatGoesOnButFindsNoFreeStream_isFollowedByTheFailureInTime() {
+        RouterDriver node = new RouterDriver(twoServers(), 2 * 64 * 1024);
+        for (int i = 0; i < 2; i++) {
+            Forward forward = beginResponse(node, node.forwardOnNewConnection("read"));
+            beginStreaming(node, forward.connection());
+            node.expect(RelayResponse.class);
+        }
+        long client = node.client();
+        node.request(client, "grant", WAIT_MS);
+        Forward forward = beginResponse(node, node.connectNext());
+        node.handle(new Event.UnsizedBodyStarted(forward.connection()));
+        node.advanceMs(OBJECTIVE_MS + 50);
+        node.expectNo(Respond.class);
+        node.handle(new Event.UnsizedResponseProgressed(forward.connection()));
+        node.advanceMs(WAIT_MS - OBJECTIVE_MS - 50);
+        assertEquals(502, node.status(client));
+    }
 }
